Lay the ground: wire messages, error kinds, packets, route table, intent

Cause: nothing existed; the whole path needs its nouns first. Change: packages wire, fault, packet, route, placement, intent and control. Conclusion: ground for the packet path and the decision core.

--- /dev/null
+++ b/internal/control/compile.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/route"
+)
+
+// compile brings the affected services of the table to the document. It moves
+// no bucket: that is the placer's work, by commands of its own.
+func (s *State) compile(b *route.Builder, now time.Time, affected map[string]bool) {
+	for _, name := range slices.Sorted(maps.Keys(affected)) {
+		_, wanted := s.document.Service(name)
+		_, known := s.services[name]
+		switch {
+		case wanted && s.changed(b, name):
+			s.putService(b, now, name)
+		case !wanted && known:
+			s.dropService(b, name)
+		}
+	}
+}
+
+// changed reports whether a service or the team over it could differ from the
+// table; comparing is cheaper than copying the service's buckets.
+func (s *State) changed(b *route.Builder, name string) bool {
+	id, known := s.services[name]
+	if !known {
+		return true
+	}
+	have := b.Table().Service(id)
+	if have.Policy() != s.document.Policy(name) || !slices.Equal(have.Classes(), s.document.Classes(name)) {
+		return true
+	}
+	service, _ := s.document.Service(name)
+	held := 0
+	for _, e := range service.Endpoints {
+		have := b.Table().EndpointAt(e.Address)
+		if have == nil || !sameEndpoint(have, e) {
+			return true
+		}
+		held++
+	}
+	return held != s.listed(have)
+}
+
+func sameEndpoint(have *route.Endpoint, want intent.Endpoint) bool {
+	return have.Name() == want.Name && have.Domain() == want.Domain && have.Slots() == want.Slots &&
+		have.Connections() == want.Connections && have.Leaving() == want.Leaving
+}
+
+// listed counts the endpoints that the document still named at last compile.
+func (s *State) listed(have *route.Service) int {
+	n := 0
+	for _, id := range have.Endpoints() {
+		if !s.leavers[id].removed {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) putService(b *route.Builder, now time.Time, name string) {
+	service, _ := s.document.Service(name)
+	id, known := s.services[name]
+	if !known {
+		id = s.nextSvc
+		s.nextSvc++
+		s.services[name] = id
+	}
+	b.PutService(id, name, s.document.Classes(name), s.document.Policy(name), route.BucketsFor(len(service.Endpoints)))
+	named := map[uint32]bool{}
+	for _, e := range service.Endpoints {
+		named[s.putEndpoint(b, now, id, e)] = true
+	}
+	for _, old := range b.Table().EndpointsOf(id) {
+		if !named[old.ID()] {
+			s.leave(b, now, old)
+		}
+	}
+}
+
+// putEndpoint brings one endpoint to the document. The address is its
+// identity: under another address it is another place with its own flows.
+func (s *State) putEndpoint(b *route.Builder, now time.Time, service uint32, e intent.Endpoint) uint32 {
+	var id uint32
+	if have := b.Table().EndpointAt(e.Address); have != nil {
+		id = have.ID()
+	} else {
+		id = s.nextID
+		s.nextID++
+	}
+	b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{
+		ID: id, Service: service, Name: e.Name, Addr: e.Address, Domain: e.Domain,
+		Slots: e.Slots, Connections: e.Connections, Leaving: e.Leaving,
+	}))
+	if !e.Leaving {
+		delete(s.leavers, id)
+	} else if l, already := s.leavers[id]; already {
+		s.leavers[id] = leaver{since: l.since}
+	} else {
+		s.leavers[id] = leaver{since: now}
+	}
+	return id
+}
+
+// heldElsewhere returns a fault for each endpoint address of the affected
+// services that another service still has flows on.
+func (s *State) heldElsewhere(next intent.Document, affected map[string]bool) []string {
+	var faults []string
+	for _, name := range slices.Sorted(maps.Keys(affected)) {
+		service, _ := next.Service(name)
+		for _, e := range service.Endpoints {
+			have := s.table.EndpointAt(e.Address)
+			if have != nil && have.Service() != s.services[name] {
+				faults = append(faults, fmt.Sprintf("service %s endpoint %q: address %s still holds flows of another service", name, e.Name, e.Address))
+			}
+		}
+	}
+	return faults
+}
+
+// leave marks an endpoint that the document no longer names: it stays in the
+// table without new work until no bucket is on it.
+func (s *State) leave(b *route.Builder, now time.Time, e *route.Endpoint) {
+	l, already := s.leavers[e.ID()]
+	if !already {
+		l.since = now
+	}
+	l.removed = true
+	s.leavers[e.ID()] = l
+	b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{
+		ID: e.ID(), Service: e.Service(), Name: e.Name(), Addr: e.Addr(), Domain: e.Domain(),
+		Slots: e.Slots(), Connections: e.Connections(), Leaving: true,
+	}))
+}
+
+func (s *State) dropService(b *route.Builder, name string) {
+	id := s.services[name]
+	for _, e := range b.Table().EndpointsOf(id) {
+		delete(s.leavers, e.ID())
+	}
+	b.RemoveService(id)
+	delete(s.services, name)
+}
+
+// forgetRemoved drops endpoints that the document no longer names and that no
+// bucket is on or has its flows on.
+func (s *State) forgetRemoved(b *route.Builder) {
+	for _, id := range slices.Sorted(maps.Keys(s.leavers)) {
+		if !s.leavers[id].removed || InUse(b.Table(), id) {
+			continue
+		}
+		b.RemoveEndpoint(id)
+		delete(s.leavers, id)
+	}
+}
+
+// InUse reports whether a bucket is on an endpoint or may have flows there.
+func InUse(t *route.Table, endpoint uint32) bool {
+	e := t.Endpoint(endpoint)
+	if e == nil {
+		return false
+	}
+	s := t.Service(e.Service())
+	if s == nil {
+		return false
+	}
+	for bucket := range uint32(s.BucketCount()) {
+		if s.Current(bucket) == endpoint {
+			return true
+		}
+	}
+	for _, tr := range s.Open() {
+		if tr.Default == endpoint || tr.Previous == endpoint {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,311 @@
+// Package control is the state machine that the replicated log drives: the
+// operators' document, the live entries and the route table. Applying the
+// same commands in the same order gives the same state on every instance; no
+// clock, random number or map order enters.
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/dchest/siphash"
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// outcomeLimit bounds the change ids that are remembered: more than a day
+	// at the size to design for. An operator resends within minutes.
+	outcomeLimit = 20000
+	// historyLimit bounds the changes that can be shown and reverted.
+	historyLimit = 500
+)
+
+// The outcomes of a change.
+const (
+	Accepted        Outcome = "accepted"
+	AlreadyAccepted Outcome = "already accepted"
+	Conflict        Outcome = "conflict"
+	Invalid         Outcome = "invalid"
+	Unconfirmed     Outcome = "needs confirmation"
+)
+
+type (
+	// Outcome is one of the closed list of answers that the state machine
+	// gives to a change.
+	Outcome string
+
+	// Answer is the outcome of a change with what belongs to it.
+	Answer struct {
+		Outcome  Outcome
+		Revision uint64
+		Detail   string
+		Faults   []string
+	}
+
+	objectKey struct {
+		kind, name string
+	}
+
+	// leaver is an endpoint that takes no new work.
+	leaver struct {
+		since   time.Time
+		removed bool
+	}
+
+	// State is the control state. One goroutine owns it; what it publishes
+	// (Table, Document) is immutable.
+	State struct {
+		index    uint64
+		revision uint64
+		checksum uint64
+		table    *route.Table
+		document intent.Document
+		objects  map[objectKey]*wire.StoredObject
+		outcomes map[string]*wire.Outcome
+		order    []string // change ids in the order they came
+		history  []*wire.HistoryEntry
+		leavers  map[uint32]leaver
+		services map[string]uint32
+		nextID   uint32
+		nextSvc  uint32
+	}
+)
+
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{
+		table:    route.Empty(),
+		document: intent.NewDocument(),
+		objects:  map[objectKey]*wire.StoredObject{},
+		outcomes: map[string]*wire.Outcome{},
+		leavers:  map[uint32]leaver{},
+		services: map[string]uint32{},
+		nextID:   1,
+		nextSvc:  1,
+	}
+}
+
+// Index returns the index of the last applied command.
+func (s *State) Index() uint64 { return s.index }
+
+// Revision returns the index of the last accepted change.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Checksum returns a hash of every command that was applied, in order. Two
+// instances at the same index with different sums do not have the same log.
+func (s *State) Checksum() uint64 { return s.checksum }
+
+// Table returns the immutable route table.
+func (s *State) Table() *route.Table { return s.table }
+
+// Document returns the operators' document; it must not be changed.
+func (s *State) Document() intent.Document { return s.document }
+
+// History returns the accepted changes, the oldest first.
+func (s *State) History() []*wire.HistoryEntry { return s.history }
+
+// LeavingSince returns when an endpoint began to leave, and whether it does.
+func (s *State) LeavingSince(endpoint uint32) (time.Time, bool) {
+	l, ok := s.leavers[endpoint]
+	return l.since, ok
+}
+
+// Apply applies one committed command. Commands that are at or below the
+// index are refused: the state goes only forward.
+func (s *State) Apply(index uint64, command []byte) (Answer, error) {
+	if index != s.index+1 {
+		return Answer{}, fault.New(fault.Internal, "apply index %d after %d", index, s.index)
+	}
+	c := &wire.Command{}
+	if err := proto.Unmarshal(command, c); err != nil {
+		return Answer{}, fault.Wrap(fault.DamagedLog, fmt.Errorf("command at index %d: %w", index, err))
+	}
+	s.index = index
+	s.checksum = chain(s.checksum, index, command)
+	b := route.NewBuilder(s.table, index)
+	answer := s.applyBody(b, c)
+	s.table = b.Table()
+	return answer, nil
+}
+
+func chain(sum, index uint64, command []byte) uint64 {
+	return siphash.Hash(sum, index, command)
+}
+
+func (s *State) applyBody(b *route.Builder, c *wire.Command) Answer {
+	now := time.Unix(0, c.UnixNano)
+	switch body := c.Body.(type) {
+	case *wire.Command_Change:
+		return s.applyChange(b, now, body.Change)
+	case *wire.Command_Moves:
+		for _, m := range body.Moves.Moves {
+			b.Move(m.Service, m.Bucket, m.Endpoint)
+		}
+	case *wire.Command_Settle:
+		for _, bucket := range body.Settle.Buckets {
+			b.Settle(body.Settle.Service, bucket)
+		}
+		s.forgetRemoved(b)
+	case *wire.Command_Members:
+		for _, m := range body.Members.Joined {
+			b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving))
+		}
+		for _, name := range body.Members.Left {
+			b.RemoveMember(name)
+		}
+	case *wire.Command_Suspect:
+		markSuspect(b, body.Suspect)
+	}
+	return Answer{Outcome: Accepted, Revision: s.revision}
+}
+
+func markSuspect(b *route.Builder, m *wire.Suspect) {
+	switch {
+	case m.Cleared:
+		b.MarkCleared(m.Domain)
+	case m.Returned:
+		b.MarkReturned(m.Domain)
+	default:
+		b.MarkCut(m.Domain)
+	}
+}
+
+// Preview tells what a change would answer now, without applying it.
+func (s *State) Preview(change *wire.Change) Answer {
+	if o, ok := s.outcomes[change.Id]; ok {
+		return Answer{Outcome: AlreadyAccepted, Revision: o.Revision, Detail: o.Detail}
+	}
+	if a, lost := s.conflict(change); lost {
+		return a
+	}
+	next, faults := s.edit(change)
+	faults = append(faults, s.heldElsewhere(next, affected(change, s.document, next))...)
+	if len(faults) > 0 {
+		return Answer{Outcome: Invalid, Faults: faults, Detail: fmt.Sprintf("%d faults", len(faults))}
+	}
+	if warnings := intent.Warnings(s.document, next); len(warnings) > 0 && !change.Confirmed {
+		return Answer{Outcome: Unconfirmed, Faults: texts(warnings), Detail: "a service would be emptied"}
+	}
+	return Answer{Outcome: Accepted}
+}
+
+func (s *State) applyChange(b *route.Builder, now time.Time, change *wire.Change) Answer {
+	answer := s.Preview(change)
+	if answer.Outcome != Accepted {
+		return answer // only an accepted id is remembered: the others may be mended and sent again
+	}
+	next, _ := s.edit(change)
+	s.remember(now, change)
+	before := s.document
+	s.document = next
+	s.compile(b, now, affected(change, before, next))
+	answer.Revision = s.revision
+	return answer
+}
+
+// conflict finds the first object that another change took after the base.
+func (s *State) conflict(change *wire.Change) (Answer, bool) {
+	for _, o := range change.Objects {
+		held, ok := s.objects[objectKey{o.Kind, o.Name}]
+		if !ok || held.Revision <= change.Base {
+			continue
+		}
+		detail := fmt.Sprintf("%s %s is at revision %d by %s (change %s), your base is %d; %s",
+			o.Kind, o.Name, held.Revision, held.Author, held.ChangeId, change.Base,
+			intent.Difference(held.Object.Body, o.Body))
+		return Answer{Outcome: Conflict, Revision: held.Revision, Detail: detail}, true
+	}
+	return Answer{}, false
+}
+
+func (s *State) edit(change *wire.Change) (intent.Document, []string) {
+	next := s.document.Clone()
+	var faults []string
+	if change.Id == "" || len(change.Objects) == 0 {
+		faults = append(faults, "a change needs an id and at least one object")
+	}
+	for _, o := range change.Objects {
+		var err error
+		if o.Remove {
+			err = next.Remove(o.Kind, o.Name)
+		} else {
+			err = next.Put(o.Kind, o.Name, o.Body)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Sprintf("%s %s: %s", o.Kind, o.Name, err))
+		}
+	}
+	return next, append(faults, texts(next.Check())...)
+}
+
+func texts(faults []intent.Fault) []string {
+	var lines []string
+	for _, f := range faults {
+		lines = append(lines, f.String())
+	}
+	return lines
+}
+
+// remember keeps the change id, the history and who made each object.
+func (s *State) remember(now time.Time, change *wire.Change) {
+	s.revision = s.index
+	s.keepOutcome(&wire.Outcome{ChangeId: change.Id, Kind: string(Accepted), Revision: s.revision})
+	entry := &wire.HistoryEntry{Revision: s.revision, UnixNano: now.UnixNano(), Change: change}
+	for _, o := range change.Objects {
+		key := objectKey{o.Kind, o.Name}
+		before := &wire.Object{Kind: o.Kind, Name: o.Name, Remove: true}
+		if held := s.objects[key]; held != nil {
+			before = held.Object
+		}
+		entry.Before = append(entry.Before, before)
+		if o.Remove {
+			delete(s.objects, key)
+			continue
+		}
+		s.objects[key] = &wire.StoredObject{Object: o, Revision: s.revision, Author: change.Author, ChangeId: change.Id}
+	}
+	s.history = append(s.history, entry)
+	if len(s.history) > historyLimit {
+		s.history = s.history[len(s.history)-historyLimit:]
+	}
+}
+
+func (s *State) keepOutcome(o *wire.Outcome) {
+	s.outcomes[o.ChangeId] = o
+	s.order = append(s.order, o.ChangeId)
+	if len(s.order) > outcomeLimit {
+		delete(s.outcomes, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+// affected returns the services whose part of the table a change may alter.
+func affected(change *wire.Change, before, after intent.Document) map[string]bool {
+	names := map[string]bool{}
+	for _, o := range change.Objects {
+		switch o.Kind {
+		case intent.KindService:
+			names[o.Name] = true
+		case intent.KindTeam:
+			addTeam(names, before, o.Name)
+			addTeam(names, after, o.Name)
+		case intent.KindTemplate:
+			for _, team := range after.TeamsOf(o.Name) {
+				addTeam(names, after, team)
+			}
+		}
+	}
+	return names
+}
+
+func addTeam(names map[string]bool, d intent.Document, team string) {
+	t, _ := d.Team(team)
+	for _, s := range t.Services {
+		names[s] = true
+	}
+}
--- /dev/null
+++ b/internal/intent/check.go
@@ -0,0 +1,203 @@
+package intent
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"oxbowsaddle/internal/route"
+)
+
+// maxEndpoints bounds one service, so that its bucket table stays bounded.
+const maxEndpoints = 4096
+
+// checker collects faults.
+type checker struct {
+	document  Document
+	faults    []Fault
+	addresses map[route.ServiceKey]string
+	endpoints map[netip.AddrPort]string
+	teams     map[string]string
+}
+
+// Check returns every fault of the document, in a stable order.
+func (d Document) Check() []Fault {
+	c := &checker{
+		document:  d,
+		addresses: map[route.ServiceKey]string{},
+		endpoints: map[netip.AddrPort]string{},
+		teams:     map[string]string{},
+	}
+	for _, name := range d.Templates() {
+		c.template("template "+name, d.templates[name])
+	}
+	for _, name := range d.Services() {
+		c.service("service "+name, d.services[name])
+	}
+	for _, name := range d.Teams() {
+		c.team("team "+name, name, d.teams[name])
+	}
+	return c.faults
+}
+
+func (c *checker) add(place, format string, args ...any) {
+	c.faults = append(c.faults, Fault{place, fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) template(place string, t Template) {
+	for _, name := range slices.Sorted(maps.Keys(t.Parameters)) {
+		spec, ok := specOf(name)
+		if !ok {
+			c.add(place, "unknown parameter %q", name)
+			continue
+		}
+		p := t.Parameters[name]
+		low, high := bounds(spec, p)
+		if low > high {
+			c.add(place, "%s has min above max", name)
+		}
+		for _, v := range []*Value{p.Min, p.Max} {
+			if v != nil {
+				c.addText(place, spec.fault(*v, spec.Min, spec.Max))
+			}
+		}
+		if p.Default != nil {
+			c.addText(place, spec.fault(*p.Default, low, high))
+		}
+	}
+}
+
+func (c *checker) addText(place, text string) {
+	if text != "" {
+		c.add(place, "%s", text)
+	}
+}
+
+func bounds(spec ParameterSpec, p Parameter) (low, high float64) {
+	low, high = spec.Min, spec.Max
+	if p.Min != nil {
+		low = p.Min.number
+	}
+	if p.Max != nil {
+		high = p.Max.number
+	}
+	return low, high
+}
+
+func (c *checker) service(place string, s Service) {
+	if len(s.Classes) == 0 {
+		c.add(place, "has no class")
+	}
+	names := map[string]bool{}
+	for i, class := range s.Classes {
+		c.class(fmt.Sprintf("%s class %d %q", place, i+1, class.Name), class, names)
+	}
+	if len(s.Endpoints) > maxEndpoints {
+		c.add(place, "has %d endpoints, %d are allowed", len(s.Endpoints), maxEndpoints)
+	}
+	names = map[string]bool{}
+	for i, e := range s.Endpoints {
+		c.endpoint(fmt.Sprintf("%s endpoint %d %q", place, i+1, e.Name), e, names)
+	}
+}
+
+func (c *checker) class(place string, class Class, names map[string]bool) {
+	if class.Name == "" || names[class.Name] {
+		c.add(place, "needs a name of its own")
+	}
+	names[class.Name] = true
+	if !class.Address.IsValid() || class.Address.Port() == 0 {
+		c.add(place, "needs an address with a port")
+	}
+	if class.Protocol != "tcp" && class.Protocol != "udp" {
+		c.add(place, "protocol is tcp or udp, not %q", class.Protocol)
+	}
+	if class.Kind != ClassFlow && class.Kind != ClassWork {
+		c.add(place, "kind is flow or work, not %q", class.Kind)
+	}
+	if class.Kind == ClassWork && class.Protocol != "udp" {
+		c.add(place, "work travels over udp")
+	}
+	if other, taken := c.addresses[class.key()]; taken {
+		c.add(place, "address %s is already used by %s", class.Address, other)
+	}
+	c.addresses[class.key()] = place
+}
+
+func (c *checker) endpoint(place string, e Endpoint, names map[string]bool) {
+	if e.Name == "" || names[e.Name] {
+		c.add(place, "needs a name of its own")
+	}
+	names[e.Name] = true
+	if !e.Address.IsValid() || e.Address.Port() == 0 {
+		c.add(place, "needs an address with a port")
+	}
+	if e.Domain == "" {
+		c.add(place, "needs a failure domain")
+	}
+	if e.Slots < 1 || e.Connections < 1 {
+		c.add(place, "slots and connections are at least 1")
+	}
+	if other, taken := c.endpoints[e.Address]; taken {
+		c.add(place, "address %s is already used by %s", e.Address, other)
+	}
+	c.endpoints[e.Address] = place
+}
+
+func (c *checker) team(place, name string, t Team) {
+	template, ok := c.document.templates[t.Template]
+	if !ok {
+		c.add(place, "there is no template %q", t.Template)
+	}
+	classes := map[string]bool{}
+	for _, s := range t.Services {
+		service, ok := c.document.services[s]
+		if !ok {
+			c.add(place, "there is no service %q", s)
+		}
+		if other, taken := c.teams[s]; taken {
+			c.add(place, "service %q is already claimed by team %s", s, other)
+		}
+		c.teams[s] = name
+		for _, class := range service.Classes {
+			classes[class.Name] = true
+		}
+	}
+	for _, f := range t.First {
+		if !classes[f] {
+			c.add(place, "first names %q, which is no class of its services", f)
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(t.Parameters)) {
+		spec, ok := specOf(p)
+		if !ok {
+			c.add(place, "unknown parameter %q", p)
+			continue
+		}
+		low, high := bounds(spec, template.Parameters[p])
+		c.addText(place, spec.fault(t.Parameters[p], low, high))
+	}
+}
+
+// Warnings returns what is allowed but asks for a confirmation: a service
+// that had endpoints taking new work and is left without.
+func Warnings(before, after Document) []Fault {
+	var found []Fault
+	for _, name := range before.Services() {
+		if usable(before.services[name]) > 0 && usable(after.services[name]) == 0 {
+			found = append(found, Fault{"service " + name, "would be left without an endpoint that takes new work"})
+		}
+	}
+	return found
+}
+
+func usable(s Service) int {
+	n := 0
+	for _, e := range s.Endpoints {
+		if !e.Leaving {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/intent/difference.go
@@ -0,0 +1,81 @@
+package intent
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Difference tells in one line which top-level and nested fields of two JSON
+// objects differ.
+func Difference(before, after []byte) string {
+	var a, b any
+	if json.Unmarshal(before, &a) != nil || json.Unmarshal(after, &b) != nil {
+		return "the bodies differ"
+	}
+	lines := Differences("", a, b)
+	if len(lines) == 0 {
+		return "the bodies are equal"
+	}
+	const most = 8
+	if len(lines) > most {
+		lines = append(lines[:most], fmt.Sprintf("and %d more", len(lines)-most))
+	}
+	return "differs in " + strings.Join(lines, ", ")
+}
+
+// Differences lists the paths at which two decoded JSON values differ, with
+// the values there.
+func Differences(path string, a, b any) []string {
+	mapA, okA := a.(map[string]any)
+	mapB, okB := b.(map[string]any)
+	if okA && okB {
+		return mapDifferences(path, mapA, mapB)
+	}
+	listA, okA := a.([]any)
+	listB, okB := b.([]any)
+	if okA && okB {
+		return listDifferences(path, listA, listB)
+	}
+	textA, textB := encode(a), encode(b)
+	if bytes.Equal(textA, textB) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%s: %s -> %s", strings.TrimPrefix(path, "."), textA, textB)}
+}
+
+func mapDifferences(path string, a, b map[string]any) []string {
+	keys := maps.Clone(a)
+	maps.Copy(keys, b)
+	var lines []string
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		lines = append(lines, Differences(path+"."+key, a[key], b[key])...)
+	}
+	return lines
+}
+
+func listDifferences(path string, a, b []any) []string {
+	var lines []string
+	for i := range max(len(a), len(b)) {
+		lines = append(lines, Differences(fmt.Sprintf("%s[%d]", path, i), at(a, i), at(b, i))...)
+	}
+	return lines
+}
+
+func at(list []any, i int) any {
+	if i < len(list) {
+		return list[i]
+	}
+	return nil
+}
+
+func encode(v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return []byte("?")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,123 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oxbowsaddle/internal/route"
+)
+
+const service = 1
+
+func newTable(endpoints int) *route.Table {
+	b := route.NewBuilder(route.Empty(), 1)
+	b.PutService(service, "booking", nil, route.Policy{}, route.BucketsFor(endpoints))
+	for i := range endpoints {
+		b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{ID: uint32(i + 1), Service: service}))
+	}
+	return b.Table()
+}
+
+func equalWeights(n int) []Weight {
+	weights := make([]Weight, n)
+	for i := range weights {
+		weights[i] = Weight{uint32(i + 1), 1}
+	}
+	return weights
+}
+
+func apply(t *route.Table, moves []Move, index uint64) *route.Table {
+	b := route.NewBuilder(t, index)
+	for _, m := range moves {
+		b.Move(service, m.Bucket, m.Endpoint)
+	}
+	return b.Table()
+}
+
+func counts(t *route.Table) map[uint32]int {
+	got := map[uint32]int{}
+	s := t.Service(service)
+	for b := range uint32(s.BucketCount()) {
+		got[s.Current(b)]++
+	}
+	return got
+}
+
+func TestFirstPlacementIsEven(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable(14)
+	table = apply(table, Plan(table.Service(service), equalWeights(14), 1, 10), 2)
+	for e, n := range counts(table) {
+		g.Expect(n).To(gomega.BeNumerically("~", 1024/14, 1), "endpoint %d", e)
+	}
+	g.Expect(Plan(table.Service(service), equalWeights(14), 2, 10)).To(gomega.BeEmpty(), "a placed service is left alone")
+}
+
+func TestLeavingMovesOnlyItsOwnBuckets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := newTable(14)
+	table = apply(table, Plan(table.Service(service), equalWeights(14), 1, 10), 2)
+	had := counts(table)[5]
+	weights := equalWeights(14)
+	weights[4].Share = 0
+	moves := Plan(table.Service(service), weights, 2, 0)
+	g.Expect(moves).To(gomega.HaveLen(had))
+	for _, m := range moves {
+		g.Expect(table.Service(service).Current(m.Bucket)).To(gomega.Equal(uint32(5)))
+		g.Expect(m.Endpoint).NotTo(gomega.Equal(uint32(5)))
+	}
+}
+
+func TestAServiceIsNeverEmptied(t *testing.T) {
+	table := newTable(3)
+	gomega.NewWithT(t).Expect(Plan(table.Service(service), []Weight{{1, 0}, {2, 0}, {3, 0}}, 1, 10)).To(gomega.BeEmpty())
+}
+
+func TestPlansConvergeAndKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(rt, "endpoints")
+		limit := rapid.IntRange(1, 30).Draw(rt, "limit")
+		table := newTable(n)
+		index := uint64(1)
+		table = apply(table, Plan(table.Service(service), equalWeights(n), index, limit), 2)
+		weights := equalWeights(n)
+		for i := range weights {
+			weights[i].Share = rapid.Float64Range(0.1, 2).Draw(rt, "share")
+		}
+		for range 2000 {
+			index++
+			moves := Plan(table.Service(service), weights, index, limit)
+			if len(moves) > limit {
+				rt.Fatalf("%d moves with a limit of %d", len(moves), limit)
+			}
+			if len(moves) == 0 {
+				break
+			}
+			table = apply(table, moves, index)
+			settled := route.NewBuilder(table, index)
+			for _, m := range moves {
+				settled.Settle(service, m.Bucket)
+			}
+			table = settled.Table()
+		}
+		got := counts(table)
+		for _, l := range targets(weights, table.Service(service).BucketCount()) {
+			if diff := got[l.endpoint] - l.target; diff < -1 || diff > 1 {
+				rt.Fatalf("endpoint %d has %d buckets, target %d", l.endpoint, got[l.endpoint], l.target)
+			}
+		}
+	})
+}
+
+func BenchmarkPlan4000Endpoints(b *testing.B) {
+	table := newTable(4000)
+	weights := equalWeights(4000)
+	table = apply(table, Plan(table.Service(service), weights, 1, 0), 2)
+	weights[7].Share = 0
+	b.ResetTimer()
+	for b.Loop() {
+		Plan(table.Service(service), weights, 2, 10)
+	}
+}
