--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -151,6 +151,14 @@
 			b.Settle(body.Settle.Service, bucket)
 		}
 		s.forgetRemoved(b)
+	case *wire.Command_Flip:
+		for _, bucket := range body.Flip.Buckets {
+			b.Flip(body.Flip.Service, bucket)
+		}
+	case *wire.Command_Reopen:
+		for _, bucket := range body.Reopen.Buckets {
+			b.Reopen(body.Reopen.Service, bucket)
+		}
 	case *wire.Command_Members:
 		for _, m := range body.Members.Joined {
 			b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving))
--- /dev/null
+++ b/internal/controller/transition.go
@@ -0,0 +1,131 @@
+package controller
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+// transition is what the controller follows of a bucket in transition.
+type transition struct {
+	movedAt uint64
+	quiet   time.Time // since when nothing was lost that knew of its flows
+	zero    time.Time // since when no entry has seen a flow elsewhere
+}
+
+// lost notes that an entry is gone: of the buckets that it saw flows of, or
+// had not counted yet, every living flow must show itself once more.
+func (k *Controller) lost(m *member) {
+	for key, t := range k.open {
+		if m.rows[key].flows > 0 || m.counted < t.movedAt {
+			t.quiet = time.Time{}
+		}
+	}
+}
+
+// transitions ends what can be ended. A bucket is settled when no flow is
+// elsewhere any more, or when the drain deadline of its former endpoint has
+// passed. It is flipped when its holders know every flow that is elsewhere:
+// after one idle limit each living flow has shown itself.
+func (k *Controller) transitions(now time.Time) []*wire.Command {
+	var commands []*wire.Command
+	seen := map[bucketKey]bool{}
+	k.state.Table().Services(func(s *route.Service) {
+		var settle, forced, flip []uint32
+		for _, bucket := range slices.Sorted(maps.Keys(s.Open())) {
+			t := s.Open()[bucket]
+			key := bucketKey{s.ID(), bucket}
+			seen[key] = true
+			switch k.judge(now, s, key, t) {
+			case doSettle:
+				settle = append(settle, bucket)
+			case doForce:
+				forced = append(forced, bucket)
+			case doFlip:
+				flip = append(flip, bucket)
+			case doNothing:
+			}
+		}
+		commands = append(commands, settleCommand(s.ID(), settle, false)...)
+		commands = append(commands, settleCommand(s.ID(), forced, true)...)
+		if len(flip) > 0 {
+			commands = append(commands, &wire.Command{Body: &wire.Command_Flip{Flip: &wire.Flip{Service: s.ID(), Buckets: flip}}})
+		}
+	})
+	maps.DeleteFunc(k.open, func(key bucketKey, _ *transition) bool { return !seen[key] })
+	return commands
+}
+
+func settleCommand(service uint32, buckets []uint32, forced bool) []*wire.Command {
+	if len(buckets) == 0 {
+		return nil
+	}
+	return []*wire.Command{{Body: &wire.Command_Settle{Settle: &wire.Settle{Service: service, Buckets: buckets, Forced: forced}}}}
+}
+
+type judgement int
+
+const (
+	doNothing judgement = iota
+	doSettle
+	doForce
+	doFlip
+)
+
+func (k *Controller) judge(now time.Time, s *route.Service, key bucketKey, t route.Transition) judgement {
+	if t.MovedAt > k.active {
+		return doNothing
+	}
+	f := k.open[key]
+	if f == nil || f.movedAt != t.MovedAt {
+		f = &transition{movedAt: t.MovedAt}
+		k.open[key] = f
+	}
+	if f.quiet.IsZero() {
+		f.quiet = now
+	}
+	if k.pastDeadline(now, s, t) {
+		return doForce
+	}
+	flows, pending, counted := k.rows(now, key, t.MovedAt)
+	if !counted || flows > 0 {
+		f.zero = time.Time{}
+	} else if f.zero.IsZero() {
+		f.zero = now
+	}
+	if len(k.state.Table().Cut()) > 0 || now.Sub(f.quiet) < s.Policy().Idle+k.config.SettleAfter {
+		return doNothing
+	}
+	switch {
+	case !f.zero.IsZero() && now.Sub(f.zero) >= k.config.SettleAfter:
+		return doSettle
+	case counted && pending == 0 && !t.Flipped:
+		return doFlip
+	}
+	return doNothing
+}
+
+// rows sums up what the entries with a lease have reported of a bucket.
+func (k *Controller) rows(now time.Time, key bucketKey, movedAt uint64) (flows, pending uint32, counted bool) {
+	counted = k.allCounted(now, movedAt)
+	for _, m := range k.members {
+		flows = max(flows, m.rows[key].flows)
+		pending += m.rows[key].pending
+	}
+	return flows, pending, counted
+}
+
+// pastDeadline reports whether the former endpoint of a bucket has been
+// leaving for longer than its drain deadline.
+func (k *Controller) pastDeadline(now time.Time, s *route.Service, t route.Transition) bool {
+	for _, id := range []uint32{t.Default, t.Previous} {
+		since, leaving := k.state.LeavingSince(id)
+		if leaving && id != t.Current && now.Sub(since) >= s.Policy().DrainDeadline {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/flow/ask.go
@@ -0,0 +1,170 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// maxAsked bounds how many peers are asked about one flow. Packets are
+	// sprayed, so a flow of some length is known to nearly every entry.
+	maxAsked = 16
+	// maxWaiting bounds the packets of one flow that wait; callers resend.
+	maxWaiting = 2
+)
+
+// question is a flow that peers have been asked about.
+type question struct {
+	verdict  Verdict
+	packets  []*packet.Packet
+	open     []string // peers that have not answered
+	whole    bool     // every live entry has been asked
+	deadline time.Time
+}
+
+// ask keeps the packet and asks the peers where they have seen its flow.
+func (e *Engine) ask(now time.Time, v Verdict, p *packet.Packet) Verdict {
+	if q := e.waiting[v.id]; q != nil {
+		if len(q.packets) < maxWaiting {
+			q.packets = append(q.packets, p.Clone())
+		}
+		v.action, v.reason = Waited, AskedPeers
+		return v
+	}
+	peers := e.askedPeers(v)
+	if len(peers) == 0 {
+		return e.nobodyKnows(now, v, p, e.alone())
+	}
+	if len(e.waiting) >= e.config.Waiting || !e.asks.AllowN(now, 1) {
+		v.action, v.reason = Drop, AskLimit
+		return v
+	}
+	e.stats.Asks++
+	e.waiting[v.id] = &question{
+		verdict: v, packets: []*packet.Packet{p.Clone()}, open: peers,
+		whole: len(peers)+1 >= len(e.view.Table.Members()), deadline: now.Add(e.config.AskTimeout),
+	}
+	message := &wire.Peer{From: e.config.Self, Body: &wire.Peer_Ask{Ask: &wire.Ask{
+		High: v.id.High, Low: v.id.Low, Service: v.service.ID(),
+	}}}
+	for _, peer := range peers {
+		e.out = append(e.out, Out{Peer: peer, Message: message})
+	}
+	v.action, v.reason = Waited, AskedPeers
+	return v
+}
+
+func (e *Engine) alone() bool { return len(e.view.Table.Members()) <= 1 }
+
+// askedPeers returns the peers to ask: all that can be reached, or a sample
+// of them that differs by flow.
+func (e *Engine) askedPeers(v Verdict) []string {
+	peers := e.view.Reachable
+	if len(peers) <= maxAsked {
+		return slices.Clone(peers)
+	}
+	start := int(v.id.Low % uint64(len(peers)))
+	asked := make([]string, maxAsked)
+	for i := range asked {
+		asked[i] = peers[(start+i)%len(peers)]
+	}
+	return asked
+}
+
+// Peer takes a message from another entry.
+func (e *Engine) Peer(now time.Time, m *wire.Peer) {
+	switch body := m.Body.(type) {
+	case *wire.Peer_Ask:
+		e.answerAsk(m.From, body.Ask)
+	case *wire.Peer_Told:
+		e.told(now, m.From, body.Told)
+	case *wire.Peer_Forget:
+		e.forget(route.FlowID{High: body.Forget.High, Low: body.Forget.Low})
+	case *wire.Peer_Push:
+		e.takePush(m.From, body.Push)
+	case *wire.Peer_Pushed:
+		e.pushed(m.From, body.Pushed.Sequence)
+	}
+}
+
+func (e *Engine) answerAsk(from string, ask *wire.Ask) {
+	id := route.FlowID{High: ask.High, Low: ask.Low}
+	told := &wire.Told{High: ask.High, Low: ask.Low, Service: ask.Service}
+	if s := e.flows.get(id); s != nil {
+		told.Endpoint = s.endpoint
+	} else if r, ok := e.records[id]; ok {
+		told.Endpoint = r.endpoint
+	}
+	e.out = append(e.out, Out{Peer: from, Message: &wire.Peer{From: e.config.Self, Body: &wire.Peer_Told{Told: told}}})
+}
+
+func (e *Engine) told(now time.Time, from string, told *wire.Told) {
+	id := route.FlowID{High: told.High, Low: told.Low}
+	q := e.waiting[id]
+	if q == nil {
+		return
+	}
+	if endpoint := e.view.Table.Endpoint(told.Endpoint); endpoint != nil && endpoint.Service() == q.verdict.service.ID() {
+		delete(e.waiting, id)
+		e.keep(q.verdict, told.Endpoint)
+		e.release(q, func(p *packet.Packet) Verdict { return e.forward(now, q.verdict, p, told.Endpoint, ByPeer) })
+		return
+	}
+	q.open = slices.DeleteFunc(q.open, func(name string) bool { return name == from })
+	if len(q.open) > 0 {
+		return
+	}
+	delete(e.waiting, id)
+	e.release(q, func(p *packet.Packet) Verdict { return e.nobodyKnows(now, q.verdict, p, q.whole) })
+}
+
+// release decides on the packets that had waited.
+func (e *Engine) release(q *question, decide func(*packet.Packet) Verdict) {
+	for _, p := range q.packets {
+		e.out = append(e.out, Out{Inner: p.Inner(), Tuple: p.Tuple(), Verdict: decide(p)})
+	}
+}
+
+// nobodyKnows is the one treatment of a packet of a flow that no entry which
+// could be asked has seen. It never guesses another backend server.
+func (e *Engine) nobodyKnows(now time.Time, v Verdict, p *packet.Packet, whole bool) Verdict {
+	t, open := v.service.Transition(v.bucket)
+	if !open {
+		t = settledTransition(v.service.Current(v.bucket))
+	}
+	switch {
+	case e.view.Island || len(e.view.Table.Cut()) > 0:
+		v.action, v.reason = Drop, WithheldCut // the other side may hold the flow
+		return v
+	case !whole:
+		v.action, v.reason = Drop, AskTimeout
+		return v
+	case v.isUDP(p):
+		_, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
+		return e.newFlow(now, v, p, t.ForNew(e.view.Active), t.Default, second)
+	case !open:
+		return e.forward(now, v, p, t.Default, ByDefault)
+	default:
+		v.action, v.reason = Reset, NobodyKnows
+		return v
+	}
+}
+
+// expireQuestions gives up questions that were not answered in time.
+func (e *Engine) expireQuestions(now time.Time) {
+	for id, q := range e.waiting {
+		if now.Before(q.deadline) {
+			continue
+		}
+		delete(e.waiting, id)
+		e.release(q, func(*packet.Packet) Verdict {
+			v := q.verdict
+			v.action, v.reason = Drop, AskTimeout
+			return v
+		})
+	}
+}
--- /dev/null
+++ b/internal/flow/engine.go
@@ -0,0 +1,296 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+// maxHops bounds how often one packet is relayed: to an owner that has just
+// changed, to the new one, and to the second holder.
+const maxHops = 4
+
+type (
+	// bucketKey names a bucket of a service.
+	bucketKey struct {
+		service, bucket uint32
+	}
+
+	// Out is something that the engine wants sent beside the verdict on the
+	// packet at hand: a message to a peer, or a packet that had waited.
+	Out struct {
+		Peer    string       // for a message
+		Message *wire.Peer   // nil for a packet
+		Inner   []byte       // the packet
+		Tuple   packet.Tuple // of the packet
+		Verdict Verdict      // on the packet
+	}
+
+	// Stats counts what the engine holds and has done.
+	Stats struct {
+		Flows, HalfOpen, Records, Waiting   int
+		TableFull, Asks, Pushes, PushBytes  uint64
+		PushBacklog, Broken, RecordsDropped uint64
+	}
+
+	// Engine decides for one entry.
+	Engine struct {
+		config  Config
+		view    *View
+		flows   *flowTable
+		records map[route.FlowID]record
+		byHeld  map[bucketKey]*holding
+		waiting map[route.FlowID]*question
+		asks    *rate.Limiter
+		push    pusher
+		sweep   sweeper
+		out     []Out
+		stats   Stats
+	}
+)
+
+// New returns an engine that knows nothing and decides nothing.
+func New(c Config, now time.Time) *Engine {
+	return &Engine{
+		config:  c,
+		view:    &View{Table: route.Empty()},
+		flows:   newFlowTable(c.Flows, now),
+		records: map[route.FlowID]record{},
+		byHeld:  map[bucketKey]*holding{},
+		waiting: map[route.FlowID]*question{},
+		asks:    rate.NewLimiter(rate.Limit(c.AsksASecond), c.AsksASecond),
+		push:    newPusher(c),
+		sweep:   newSweeper(),
+	}
+}
+
+// View returns the view that the engine decides by.
+func (e *Engine) View() *View { return e.view }
+
+// Stats returns counts of what the engine holds and has done.
+func (e *Engine) Stats() Stats {
+	s := e.stats
+	s.Flows, s.HalfOpen, s.Records, s.Waiting = e.flows.used, e.flows.opening, len(e.records), len(e.waiting)
+	s.PushBacklog = uint64(e.push.backlog())
+	return s
+}
+
+// TakeOut returns what is to be sent and forgets it. The slice is valid until
+// the next call of the engine.
+func (e *Engine) TakeOut() []Out {
+	out := e.out
+	e.out = e.out[:0]
+	return out
+}
+
+// Inbound decides on a packet from a caller.
+func (e *Engine) Inbound(now time.Time, p *packet.Packet) Verdict {
+	tuple := p.Tuple()
+	service, _ := e.view.Table.Lookup(route.ServiceKey{Addr: tuple.Dst(), Transport: tuple.Transport()})
+	if service == nil {
+		return Verdict{action: Drop, reason: UnknownService}
+	}
+	id := e.config.Hasher.Flow(tuple)
+	v := Verdict{service: service, id: id, bucket: service.Bucket(id)}
+	if relay, ok := p.Relay(); ok && relay.Kind() == packet.RelayStore {
+		return e.store(now, v, p, relay)
+	}
+	if s := e.flows.get(id); s != nil {
+		if got, ok := e.fromCache(now, v, p, s); ok {
+			return got
+		}
+	}
+	if r, ok := e.records[id]; ok {
+		if !e.reused(p, r.endpoint) {
+			return e.forward(now, v, p, r.endpoint, ByRecord)
+		}
+		e.announceReuse(v)
+	}
+	return e.unknown(now, v, p)
+}
+
+// fromCache decides by the cache. A SYN on a flow that has closed, or on an
+// open one whose endpoint takes no new flow, is a new flow on an old tuple and
+// is decided anew.
+func (e *Engine) fromCache(now time.Time, v Verdict, p *packet.Packet, s *slot) (Verdict, bool) {
+	endpoint := e.view.Table.Endpoint(s.endpoint)
+	if endpoint == nil || p.Flags().Opens() && (s.state == stateClosing || s.state == stateOpen && endpoint.Leaving()) {
+		e.flows.remove(v.id)
+		return v, false
+	}
+	s.seen = e.flows.ticks(now)
+	if p.Flags().Ends() {
+		e.flows.setState(s, stateClosing)
+	} else if s.state == stateOpening && !p.Flags().Opens() {
+		e.flows.setState(s, stateOpen)
+	}
+	return e.send(v, endpoint, ByCache), true
+}
+
+// reused reports whether a SYN opens a new flow on the tuple of an old record
+// whose endpoint takes no new flow.
+func (e *Engine) reused(p *packet.Packet, endpoint uint32) bool {
+	if !p.Flags().Opens() {
+		return false
+	}
+	have := e.view.Table.Endpoint(endpoint)
+	return have == nil || have.Leaving()
+}
+
+// announceReuse tells the peers that a tuple is a new flow now, so that none
+// of them sends it to the endpoint of the old one. This is rare: a caller's
+// port comes again within the idle limit while its endpoint is leaving.
+func (e *Engine) announceReuse(v Verdict) {
+	forget := &wire.Peer{From: e.config.Self, Body: &wire.Peer_Forget{Forget: &wire.Forget{High: v.id.High, Low: v.id.Low}}}
+	for _, peer := range e.view.Reachable {
+		e.out = append(e.out, Out{Peer: peer, Message: forget})
+	}
+	e.forget(v.id)
+}
+
+// forget drops what is known of a flow whose endpoint is leaving.
+func (e *Engine) forget(id route.FlowID) {
+	if s := e.flows.get(id); s != nil {
+		if endpoint := e.view.Table.Endpoint(s.endpoint); endpoint == nil || endpoint.Leaving() {
+			e.flows.remove(id)
+		}
+	}
+	if r, ok := e.records[id]; ok {
+		if endpoint := e.view.Table.Endpoint(r.endpoint); endpoint == nil || endpoint.Leaving() {
+			delete(e.records, id)
+			delete(e.holdingOf(r.key).flows, id)
+		}
+	}
+}
+
+// unknown decides on a packet of a flow that this entry does not know.
+func (e *Engine) unknown(now time.Time, v Verdict, p *packet.Packet) Verdict {
+	if !now.Before(e.view.LeaseUntil) {
+		return e.withoutLease(now, v, p)
+	}
+	t, open := v.service.Transition(v.bucket)
+	if !open && (!e.view.Table.Suspect() || p.Flags().Opens()) {
+		return e.forward(now, v, p, v.service.Current(v.bucket), BySettled)
+	}
+	if !open {
+		t = settledTransition(v.service.Current(v.bucket))
+	}
+	if t.Flipped && p.Flags().Opens() && t.MovedAt <= e.view.Active {
+		return e.forward(now, v, p, t.Current, ByNew)
+	}
+	owner, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
+	if owner != e.config.Self {
+		return e.relayTo(v, p, owner, ToOwner)
+	}
+	return e.asOwner(now, v, p, t, second)
+}
+
+func settledTransition(endpoint uint32) route.Transition {
+	return route.Transition{Default: endpoint, Previous: endpoint, Current: endpoint, Flipped: true}
+}
+
+// asOwner decides on a flow without a record, as the owner of its bucket.
+func (e *Engine) asOwner(now time.Time, v Verdict, p *packet.Packet, t route.Transition, second string) Verdict {
+	if p.Flags().Opens() {
+		return e.newFlow(now, v, p, t.ForNew(e.view.Active), t.Default, second)
+	}
+	if e.complete(v) && !(v.isUDP(p) && !t.Flipped) {
+		return e.forward(now, v, p, t.Default, ByDefault)
+	}
+	return e.ask(now, v, p)
+}
+
+// isUDP reports whether the packet has no flag that tells a new flow.
+func (v Verdict) isUDP(p *packet.Packet) bool { return p.Tuple().Transport() == packet.UDP }
+
+// newFlow places a new flow of a bucket in transition. On the default
+// endpoint it needs no record; elsewhere both holders have one before its
+// first packet reaches the endpoint, since the packet goes by the second.
+func (e *Engine) newFlow(now time.Time, v Verdict, p *packet.Packet, endpoint, byDefault uint32, second string) Verdict {
+	if endpoint == byDefault {
+		return e.forward(now, v, p, endpoint, ByNew)
+	}
+	if !e.keep(v, endpoint) {
+		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
+	}
+	if second == "" || !slices.Contains(e.view.Reachable, second) {
+		return e.forward(now, v, p, endpoint, ByNew)
+	}
+	e.cache(now, v, p, endpoint, true)
+	previous, _ := p.Relay()
+	v.relay = packet.NewRelay(packet.RelayStore, endpoint, e.view.Table.Index(), 0).After(previous)
+	v.action, v.reason, v.peer = Relay, ToSecond, second
+	v.endpoint = e.view.Table.Endpoint(endpoint)
+	return v
+}
+
+// store keeps the decision of a bucket's owner and passes the packet on.
+func (e *Engine) store(now time.Time, v Verdict, p *packet.Packet, relay packet.Relay) Verdict {
+	if s := e.flows.get(v.id); s != nil && s.endpoint != relay.Endpoint() && s.state != stateClosing {
+		// This entry has seen the flow elsewhere already; that place is the truth.
+		return e.forward(now, v, p, s.endpoint, ByCache)
+	}
+	if !e.keep(v, relay.Endpoint()) {
+		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
+	}
+	return e.forward(now, v, p, relay.Endpoint(), ByRecord)
+}
+
+// relayTo sends a packet to the entry that decides on it.
+func (e *Engine) relayTo(v Verdict, p *packet.Packet, peer string, reason Reason) Verdict {
+	relay, relayed := p.Relay()
+	if !relayed {
+		relay = packet.NewRelay(packet.RelayDecide, 0, e.view.Table.Index(), 0)
+	}
+	if peer == "" || relay.Hops() >= maxHops {
+		v.action, v.reason = Drop, HopLimit
+		return v
+	}
+	v.action, v.reason, v.peer, v.relay = Relay, reason, peer, relay.WithHop()
+	return v
+}
+
+// forward sends a packet to an endpoint and caches the flow.
+func (e *Engine) forward(now time.Time, v Verdict, p *packet.Packet, endpoint uint32, reason Reason) Verdict {
+	have := e.view.Table.Endpoint(endpoint)
+	if have == nil {
+		v.action, v.reason = Drop, NoEndpoint
+		return v
+	}
+	e.cache(now, v, p, endpoint, reason == ByRecord)
+	return e.send(v, have, reason)
+}
+
+// send is the last step before a packet leaves for a backend server. It
+// asserts that the endpoint belongs to the packet's service.
+func (e *Engine) send(v Verdict, endpoint *route.Endpoint, reason Reason) Verdict {
+	if endpoint.Service() != v.service.ID() {
+		e.stats.Broken++
+		v.action, v.reason = Drop, CrossService
+		return v
+	}
+	v.action, v.reason, v.endpoint = Forward, reason, endpoint
+	return v
+}
+
+// cache notes the endpoint of a flow. Known says that the holders of its
+// bucket know of it, so that it need not be pushed to them.
+func (e *Engine) cache(now time.Time, v Verdict, p *packet.Packet, endpoint uint32, known bool) {
+	state := stateOpen
+	if p.Flags().Opens() {
+		state = stateOpening
+	} else if p.Flags().Ends() {
+		state = stateClosing
+	}
+	s := e.flows.put(v.id, endpoint, state, now)
+	if s == nil {
+		e.stats.TableFull++
+		return
+	}
+	s.pushed = known
+}
--- /dev/null
+++ b/internal/flow/holder.go
@@ -0,0 +1,188 @@
+package flow
+
+import (
+	"slices"
+
+	"oxbowsaddle/internal/route"
+)
+
+type (
+	// record tells on which endpoint a flow of a bucket in transition lives.
+	record struct {
+		endpoint uint32
+		key      bucketKey
+	}
+
+	// holding is what this entry knows as owner or second holder of a bucket.
+	holding struct {
+		complete bool // it has every record that there is
+		flows    map[route.FlowID]struct{}
+	}
+)
+
+// keep stores a record; false when there is no room.
+func (e *Engine) keep(v Verdict, endpoint uint32) bool {
+	return e.keepRecord(v.id, bucketKey{v.service.ID(), v.bucket}, endpoint)
+}
+
+func (e *Engine) keepRecord(id route.FlowID, key bucketKey, endpoint uint32) bool {
+	if have, ok := e.records[id]; ok && have.endpoint == endpoint {
+		return true
+	}
+	if _, ok := e.records[id]; !ok && len(e.records) >= e.config.Records {
+		e.stats.RecordsDropped++
+		return false
+	}
+	e.records[id] = record{endpoint, key}
+	h := e.holdingOf(key)
+	h.flows[id] = struct{}{}
+	return true
+}
+
+func (e *Engine) holdingOf(key bucketKey) *holding {
+	h := e.byHeld[key]
+	if h == nil {
+		h = &holding{flows: map[route.FlowID]struct{}{}}
+		e.byHeld[key] = h
+	}
+	return h
+}
+
+// complete reports whether this owner has every record of a bucket.
+func (e *Engine) complete(v Verdict) bool {
+	if e.view.Table.Suspect() {
+		return false
+	}
+	h := e.byHeld[bucketKey{v.service.ID(), v.bucket}]
+	return h != nil && h.complete
+}
+
+// SetView takes a new view. Views go only forward: an older table is refused.
+func (e *Engine) SetView(next *View) {
+	if next.Table.Index() < e.view.Table.Index() {
+		return
+	}
+	previous := e.view
+	e.view = next
+	if next.Table == previous.Table {
+		return
+	}
+	e.updateHoldings(previous, next)
+}
+
+// updateHoldings walks the buckets in transition: what has settled is dropped,
+// what has just opened is known whole, and where a holder has changed the
+// first of the former holders that still lives hands its records over.
+func (e *Engine) updateHoldings(previous, next *View) {
+	for key := range e.byHeld {
+		e.dropSettled(key, next)
+	}
+	sameMembers := slices.Equal(next.Table.Members(), previous.Table.Members())
+	next.Table.Services(func(s *route.Service) {
+		before := previous.Table.Service(s.ID())
+		for bucket, t := range s.Open() {
+			key := bucketKey{s.ID(), bucket}
+			old, wasOpen := openBefore(before, bucket)
+			if wasOpen && old == t && sameMembers {
+				continue
+			}
+			e.updateHolding(key, wasOpen, previous, next)
+			if t.Flipped && !old.Flipped {
+				e.dropOnCurrent(key, t.Current)
+			}
+		}
+	})
+}
+
+func openBefore(s *route.Service, bucket uint32) (route.Transition, bool) {
+	if s == nil {
+		return route.Transition{}, false
+	}
+	return s.Transition(bucket)
+}
+
+// holder is an entry in one of its lives.
+type holder struct {
+	name        string
+	incarnation uint64
+}
+
+// holdersOf returns the owner and the second holder of a bucket.
+func holdersOf(t *route.Table, key bucketKey) (owner, second holder) {
+	ownerName, secondName := route.Rank(t.Members(), key.service, key.bucket)
+	return lifeOf(t, ownerName), lifeOf(t, secondName)
+}
+
+func lifeOf(t *route.Table, name string) holder {
+	m, _ := t.Member(name)
+	return holder{name, m.Incarnation()}
+}
+
+func (e *Engine) updateHolding(key bucketKey, wasOpen bool, previous, next *View) {
+	owner, second := holdersOf(next.Table, key)
+	if !wasOpen {
+		if owner.name == e.config.Self || second.name == e.config.Self {
+			// It was settled until now, so no flow of it can be elsewhere,
+			// if this entry has seen the opening itself.
+			e.holdingOf(key).complete = previous.Table.Index() > 0 && !previous.Table.Suspect()
+		}
+		return
+	}
+	oldOwner, oldSecond := holdersOf(previous.Table, key)
+	if owner == oldOwner && second == oldSecond {
+		return
+	}
+	heir := firstAlive(next.Table, oldOwner, oldSecond)
+	if heir == "" {
+		e.sweep.pushAgain(key) // both are lost: every entry tells what it has seen
+	}
+	if e.config.Self != heir {
+		return
+	}
+	for _, peer := range []holder{owner, second} {
+		if peer.name != "" && peer.name != e.config.Self && peer != oldOwner && peer != oldSecond {
+			e.handOver(key, peer.name)
+		}
+	}
+}
+
+// firstAlive returns the first of the holders that still lives the same life.
+func firstAlive(t *route.Table, holders ...holder) string {
+	for _, h := range holders {
+		if m, ok := t.Member(h.name); ok && m.Incarnation() == h.incarnation {
+			return h.name
+		}
+	}
+	return ""
+}
+
+// dropSettled forgets the records of a bucket that is in transition no more.
+func (e *Engine) dropSettled(key bucketKey, next *View) {
+	s := next.Table.Service(key.service)
+	if s != nil {
+		if _, open := s.Transition(key.bucket); open {
+			return
+		}
+		if next.Table.Suspect() || next.Island {
+			return // records of a domain that served by itself are still needed
+		}
+	}
+	for id := range e.byHeld[key].flows {
+		delete(e.records, id)
+	}
+	delete(e.byHeld, key)
+}
+
+// dropOnCurrent forgets the records that a flip has made the default.
+func (e *Engine) dropOnCurrent(key bucketKey, current uint32) {
+	h := e.byHeld[key]
+	if h == nil {
+		return
+	}
+	for id := range h.flows {
+		if e.records[id].endpoint == current {
+			delete(e.records, id)
+			delete(h.flows, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/lease.go
@@ -0,0 +1,82 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dchest/siphash"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+)
+
+// withoutLease decides on an unknown flow while this entry's lease has run
+// out. What it knows may be old, so it leaves the decision to an entry that
+// holds a lease; a domain that is cut off whole decides by itself.
+func (e *Engine) withoutLease(now time.Time, v Verdict, p *packet.Packet) Verdict {
+	if e.view.Island {
+		return e.onIsland(now, v, p)
+	}
+	if n := len(e.view.Leased); n > 0 {
+		return e.relayTo(v, p, e.view.Leased[v.id.Low%uint64(n)], ToLeased)
+	}
+	v.action, v.reason = Drop, NoLease
+	return v
+}
+
+// onIsland decides in a failure domain that is cut off. Every new flow gets a
+// record, so that it is found again when the domain is back.
+func (e *Engine) onIsland(now time.Time, v Verdict, p *packet.Packet) Verdict {
+	owner, second := route.Rank(e.islandMembers(), v.service.ID(), v.bucket)
+	if owner != e.config.Self {
+		return e.relayTo(v, p, owner, ToOwner)
+	}
+	if !p.Flags().Opens() {
+		return e.ask(now, v, p)
+	}
+	endpoint := e.islandEndpoint(v)
+	if endpoint == 0 {
+		v.action, v.reason = Drop, NoEndpoint
+		return v
+	}
+	return e.newFlow(now, v, p, endpoint, 0, second)
+}
+
+func (e *Engine) islandMembers() []route.Member {
+	var members []route.Member
+	for _, m := range e.view.Table.Members() {
+		if m.Name() == e.config.Self || slices.Contains(e.view.Reachable, m.Name()) {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// islandEndpoint returns the bucket's endpoint where it can be reached, else
+// one that can, the same on every entry of the domain.
+func (e *Engine) islandEndpoint(v Verdict) uint32 {
+	wanted := v.service.Current(v.bucket)
+	if t, open := v.service.Transition(v.bucket); open {
+		wanted = t.ForNew(e.view.Active)
+	}
+	if e.takesNew(wanted) {
+		return wanted
+	}
+	var best uint32
+	var bestScore uint64
+	for _, id := range v.service.Endpoints() {
+		if !e.takesNew(id) {
+			continue
+		}
+		score := siphash.Hash(uint64(id), v.id.High, nil)
+		if best == 0 || score > bestScore {
+			best, bestScore = id, score
+		}
+	}
+	return best
+}
+
+func (e *Engine) takesNew(endpoint uint32) bool {
+	have := e.view.Table.Endpoint(endpoint)
+	return have != nil && !have.Leaving() && slices.Contains(e.view.Domains, have.Domain())
+}
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -167,6 +167,14 @@
 // IsPeer reports whether this is a datagram between entries, not a packet.
 func (p *Packet) IsPeer() bool { return p.peer }
 
+// Clone returns a copy that stays valid when the buffer is used again.
+func (p *Packet) Clone() *Packet {
+	c := *p
+	c.inner = append([]byte(nil), p.inner...)
+	c.payload = c.inner[len(c.inner)-len(p.payload):]
+	return &c
+}
+
 // Decode reads one Geneve datagram into p and returns why it could not.
 func (d *Decoder) Decode(data []byte, p *Packet) Reason {
 	if len(data) < HeaderLen {
@@ -319,6 +327,19 @@
 // Trace returns the trace id of a sampled packet, or 0.
 func (r Relay) Trace() uint64 { return r.trace }
 
+// WithTrace returns the option with the trace id of a sampled packet.
+func (r Relay) WithTrace(trace uint64) Relay {
+	r.trace = trace
+	return r
+}
+
+// After returns the option as one hop after another one, whose trace it keeps.
+func (r Relay) After(previous Relay) Relay {
+	r.hops = previous.hops + 1
+	r.trace = previous.trace
+	return r
+}
+
 // WithHop returns the option with one more hop counted.
 func (r Relay) WithHop() Relay {
 	r.hops++
--- a/internal/route/builder.go
+++ b/internal/route/builder.go
@@ -123,11 +123,37 @@
 	if !open {
 		t.Default = old
 	}
-	t.Previous, t.Current, t.MovedAt = old, endpoint, b.next.index
+	t.Previous, t.Current, t.MovedAt, t.Flipped = old, endpoint, b.next.index, false
 	s.open[bucket] = t
 	return true
 }
 
+// Flip makes the current endpoint of a bucket in transition its default.
+func (b *Builder) Flip(service, bucket uint32) {
+	b.copyServices()
+	s := b.service(service)
+	if s == nil {
+		return
+	}
+	if t, open := s.open[bucket]; open {
+		t.Default, t.Flipped = t.Current, true
+		s.open[bucket] = t
+	}
+}
+
+// Reopen puts a settled bucket in transition without moving it.
+func (b *Builder) Reopen(service, bucket uint32) {
+	b.copyServices()
+	s := b.service(service)
+	if s == nil || int(bucket) >= len(s.buckets) || s.buckets[bucket] == 0 {
+		return
+	}
+	if _, open := s.open[bucket]; !open {
+		e := s.buckets[bucket]
+		s.open[bucket] = Transition{Default: e, Previous: e, Current: e, MovedAt: b.next.index, Flipped: true}
+	}
+}
+
 // Settle ends the transition of a bucket.
 func (b *Builder) Settle(service, bucket uint32) {
 	b.copyServices()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -58,10 +58,12 @@
 
 	// Transition is the state of a bucket whose endpoint has changed: flows
 	// that nobody has a record of are on Default, new flows go to Current
-	// once MovedAt is active, and to Previous until then.
+	// once MovedAt is active, and to Previous until then. Flipped says that
+	// the holders have a record of every flow that is not on Current.
 	Transition struct {
 		Default, Previous, Current uint32
 		MovedAt                    uint64
+		Flipped                    bool
 	}
 
 	// Service is a set of endpoints that do the same, with its placement and
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"oxbowsaddle/internal/control"
+	"oxbowsaddle/internal/wire"
+)
+
+const templateBody = `{"parameters":{}}`
+
+// firstChange is the document that a world starts from.
+func (w *World) firstChange() *wire.Change {
+	team := fmt.Sprintf(`{"template":"portal","services":["booking"],"parameters":{"idle":%q,"balance":%g}}`, w.config.Idle, w.config.Balance)
+	return &wire.Change{Id: "first", Author: "soak", Objects: []*wire.Object{
+		{Kind: "template", Name: "portal", Body: []byte(templateBody)},
+		{Kind: "service", Name: "booking", Body: w.serviceBody(w.config.Endpoints)},
+		{Kind: "team", Name: "visa", Body: []byte(team)},
+	}}
+}
+
+func (w *World) serviceBody(endpoints int) []byte {
+	body := `{"classes":[{"name":"feed","address":"` + serviceAddr + `","protocol":"tcp","kind":"flow"}],"endpoints":[`
+	for i := range endpoints {
+		if i > 0 {
+			body += ","
+		}
+		name := fmt.Sprintf("b%d", i)
+		_, leaving := w.leaving[name]
+		body += fmt.Sprintf(`{"name":%q,"address":"127.0.0.1:%d","domain":"d%d","slots":3,"connections":2000,"leaving":%v}`,
+			name, 9000+i, i%w.config.Domains, leaving)
+	}
+	return []byte(body + "]}")
+}
+
+func (w *World) change() control.Answer {
+	w.changes++
+	return w.commit(&wire.Command{Body: &wire.Command_Change{Change: &wire.Change{
+		Id: fmt.Sprint("change-", w.changes), Author: "soak", Base: w.state.Revision(),
+		Objects: []*wire.Object{{Kind: "service", Name: "booking", Body: w.serviceBody(w.config.Endpoints)}},
+	}}})
+}
+
+// Drain lets an endpoint leave.
+func (w *World) Drain(i int) {
+	name := fmt.Sprintf("b%d", i)
+	if len(w.leaving) >= w.config.Endpoints/2 {
+		return
+	}
+	if _, already := w.leaving[name]; !already {
+		w.leaving[name] = w.now
+		w.change()
+	}
+}
+
+// Undrain lets an endpoint take work again.
+func (w *World) Undrain(i int) {
+	name := fmt.Sprintf("b%d", i)
+	if _, leaving := w.leaving[name]; leaving {
+		delete(w.leaving, name)
+		w.change()
+	}
+}
+
+// Join adds an endpoint.
+func (w *World) Join() {
+	w.config.Endpoints++
+	w.change()
+}
+
+// Kill ends an entry without a word.
+func (w *World) Kill(name string) { w.entries[name].alive = false }
+
+// Restart begins a new life with empty memory.
+func (w *World) Restart(name string) {
+	old := w.entries[name]
+	old.alive = false
+	w.start(name, old.domain)
+}
+
+// Stop ends an entry as planned: it hands its records over first.
+func (w *World) Stop(name string) {
+	w.entries[name].stopping = true
+	w.entries[name].core.Stop()
+}
+
+// Pause freezes an entry.
+func (w *World) Pause(name string, d time.Duration) {
+	w.entries[name].pausedUntil = w.now.Add(d)
+}
+
+// Cut cuts a domain off from the others, or mends it.
+func (w *World) Cut(domain string, off bool) {
+	if domain != leaderDomain {
+		w.cut[domain] = off
+	}
+}
