--- /dev/null
+++ b/internal/replica/log.go
@@ -0,0 +1,88 @@
+package replica
+
+import (
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+// entryLog is the part of the log after the last snapshot.
+type entryLog struct {
+	snapIndex, snapTerm uint64
+	snapState           []byte
+	snapVoters          []string
+	entries             []*wire.LogEntry
+}
+
+func newEntryLog(voters []string, loaded *storage.Loaded) entryLog {
+	l := entryLog{snapVoters: voters, entries: loaded.Entries}
+	if s := loaded.Snapshot; s != nil {
+		l.snapIndex, l.snapTerm, l.snapState, l.snapVoters = s.Index, s.Term, s.State, s.Voters
+	}
+	return l
+}
+
+func (l *entryLog) last() uint64 { return l.snapIndex + uint64(len(l.entries)) }
+
+// term returns the term of an entry, or 0 where it is not known.
+func (l *entryLog) term(index uint64) uint64 {
+	if index == l.snapIndex {
+		return l.snapTerm
+	}
+	if index < l.snapIndex || index > l.last() {
+		return 0
+	}
+	return l.entries[index-l.snapIndex-1].Term
+}
+
+// between returns the entries after one index up to another.
+func (l *entryLog) between(after, upTo uint64) []*wire.LogEntry {
+	if after < l.snapIndex || upTo <= after {
+		return nil
+	}
+	return l.entries[after-l.snapIndex : min(upTo, l.last())-l.snapIndex]
+}
+
+func (l *entryLog) append(e *wire.LogEntry) { l.entries = append(l.entries, e) }
+
+func (l *entryLog) cutAfter(index uint64) {
+	// The slice is copied: parts of it may have been handed out.
+	l.entries = append([]*wire.LogEntry(nil), l.entries[:index-l.snapIndex]...)
+}
+
+func (l *entryLog) compact(s *wire.SnapshotFile) {
+	l.entries = append([]*wire.LogEntry(nil), l.entries[min(s.Index, l.last())-l.snapIndex:]...)
+	l.snapIndex, l.snapTerm, l.snapState, l.snapVoters = s.Index, s.Term, s.State, s.Voters
+}
+
+func (l *entryLog) install(s *wire.SnapshotFile) {
+	l.entries = nil
+	l.snapIndex, l.snapTerm, l.snapState, l.snapVoters = s.Index, s.Term, s.State, s.Voters
+}
+
+// voters returns the control instances by the last entry that names them; it
+// counts from when it is appended, committed or not.
+func (l *entryLog) voters() []string { return l.votersAt(l.last()) }
+
+func (l *entryLog) votersAt(index uint64) []string {
+	for i := min(index, l.last()); i > l.snapIndex; i-- {
+		if v := l.entries[i-l.snapIndex-1].Voters; len(v) > 0 {
+			return v
+		}
+	}
+	return l.snapVoters
+}
+
+func (l *entryLog) votersIndex() uint64 {
+	for i := l.last(); i > l.snapIndex; i-- {
+		if len(l.entries[i-l.snapIndex-1].Voters) > 0 {
+			return i
+		}
+	}
+	return l.snapIndex
+}
+
+// upToDate reports whether a log that ends so is at least as new as this one.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	mine := l.term(l.last())
+	return term > mine || term == mine && index >= l.last()
+}
--- /dev/null
+++ b/internal/storage/storage.go
@@ -0,0 +1,279 @@
+package storage
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"os"
+
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	logName      = "log"
+	nextLogName  = "log.next"
+	snapshotName = "snapshot"
+	nextSnapshot = "snapshot.next"
+	headerLen    = 8 // length and checksum of a record
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+type (
+	// Store is the open log and snapshot. One goroutine uses it. After an
+	// error it is broken for good: the process must not acknowledge anything
+	// that it has not seen synced.
+	Store struct {
+		files  Files
+		log    *File
+		size   int64
+		broken error
+	}
+
+	// Loaded is what the data folder held at the start.
+	Loaded struct {
+		Hard     *wire.HardState
+		Snapshot *wire.SnapshotFile // nil where there is none
+		Entries  []*wire.LogEntry   // after the snapshot, without a gap
+		Torn     bool               // an unfinished last record was cut
+	}
+)
+
+// Open reads the data folder and opens the log for appending.
+func Open(files Files) (*Store, *Loaded, error) {
+	loaded := &Loaded{Hard: &wire.HardState{}}
+	if err := readSnapshot(files, loaded); err != nil {
+		return nil, nil, err
+	}
+	good, err := readLog(files, loaded)
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &Store{files: files, size: good}
+	if s.log, err = files.Append(logName); err != nil {
+		return nil, nil, diskFault("open log", err)
+	}
+	if loaded.Torn {
+		if err := s.log.Truncate(good); err != nil {
+			return nil, nil, diskFault("cut torn record", err)
+		}
+	}
+	if err := errors.Join(s.log.Sync(), files.SyncDir()); err != nil {
+		return nil, nil, diskFault("sync log", err)
+	}
+	return s, loaded, nil
+}
+
+func diskFault(what string, err error) error {
+	return fault.Wrap(fault.DataFolder, fmt.Errorf("%s: %w", what, err))
+}
+
+func damaged(format string, args ...any) error {
+	return fault.New(fault.DamagedLog, format, args...)
+}
+
+func readSnapshot(files Files, loaded *Loaded) error {
+	data, err := files.Read(snapshotName)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return diskFault("read snapshot", err)
+	}
+	payload, rest, ok := cutRecord(data)
+	if !ok || len(rest) > 0 {
+		return damaged("the snapshot's checksum is wrong")
+	}
+	s := &wire.SnapshotFile{}
+	if err := proto.Unmarshal(payload, s); err != nil {
+		return damaged("the snapshot cannot be read: %s", err)
+	}
+	loaded.Snapshot = s
+	return nil
+}
+
+// readLog replays the log and returns the size of its good part.
+func readLog(files Files, loaded *Loaded) (int64, error) {
+	data, err := files.Read(logName)
+	if errors.Is(err, os.ErrNotExist) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, diskFault("read log", err)
+	}
+	rest := data
+	for len(rest) > 0 {
+		payload, after, ok := cutRecord(rest)
+		if !ok {
+			if !isTail(rest) {
+				return 0, damaged("the log's record at byte %d is damaged and others follow it", len(data)-len(rest))
+			}
+			loaded.Torn = true
+			break
+		}
+		r := &wire.Record{}
+		if err := proto.Unmarshal(payload, r); err != nil {
+			return 0, damaged("the log's record at byte %d cannot be read: %s", len(data)-len(rest), err)
+		}
+		if err := loaded.replay(r); err != nil {
+			return 0, err
+		}
+		rest = after
+	}
+	return int64(len(data) - len(rest)), nil
+}
+
+// isTail reports whether a bad record may be an unfinished last write: its
+// length reaches the end of the file or beyond it, or the rest is empty pages.
+func isTail(rest []byte) bool {
+	if len(rest) < headerLen {
+		return true
+	}
+	length := int(binary.LittleEndian.Uint32(rest))
+	if headerLen+length >= len(rest) {
+		return true
+	}
+	for _, b := range rest {
+		if b != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Loaded) replay(r *wire.Record) error {
+	if r.Hard != nil {
+		l.Hard = r.Hard
+	}
+	if r.Cuts {
+		l.cutAfter(r.CutAfter)
+	}
+	for _, e := range r.Entries {
+		if l.Snapshot != nil && e.Index <= l.Snapshot.Index {
+			continue
+		}
+		if want := l.lastIndex() + 1; e.Index != want {
+			return damaged("the log continues at index %d, expected %d", e.Index, want)
+		}
+		l.Entries = append(l.Entries, e)
+	}
+	return nil
+}
+
+func (l *Loaded) lastIndex() uint64 {
+	if n := len(l.Entries); n > 0 {
+		return l.Entries[n-1].Index
+	}
+	if l.Snapshot != nil {
+		return l.Snapshot.Index
+	}
+	return 0
+}
+
+func (l *Loaded) cutAfter(index uint64) {
+	for len(l.Entries) > 0 && l.Entries[len(l.Entries)-1].Index > index {
+		l.Entries = l.Entries[:len(l.Entries)-1]
+	}
+}
+
+// Append writes a batch and syncs it.
+func (s *Store) Append(r *wire.Record) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	data, err := encodeRecord(r)
+	if err != nil {
+		return err
+	}
+	if _, err := s.log.Write(data); err != nil {
+		return s.fail("write log", err)
+	}
+	if err := s.log.Sync(); err != nil {
+		return s.fail("sync log", err)
+	}
+	s.size += int64(len(data))
+	return nil
+}
+
+// Size returns the size of the log file in bytes.
+func (s *Store) Size() int64 { return s.size }
+
+// fail makes the store refuse everything: after a failed write or sync it is
+// not known what the disk holds.
+func (s *Store) fail(what string, err error) error {
+	s.broken = diskFault(what, err)
+	return s.broken
+}
+
+// SaveSnapshot replaces the snapshot and begins a new log with what follows
+// it. The old log stays until the new one is whole; replay skips entries that
+// the snapshot covers.
+func (s *Store) SaveSnapshot(snapshot *wire.SnapshotFile, hard *wire.HardState, after []*wire.LogEntry) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	if err := s.replaceFile(nextSnapshot, snapshotName, snapshot); err != nil {
+		return s.fail("write snapshot", err)
+	}
+	if err := s.replaceFile(nextLogName, logName, &wire.Record{Hard: hard, Entries: after, Cuts: true, CutAfter: snapshot.Index}); err != nil {
+		return s.fail("begin log", err)
+	}
+	old := s.log
+	log, err := s.files.Append(logName)
+	if err != nil {
+		return s.fail("open log", err)
+	}
+	s.log = log
+	s.size = 0
+	return old.Close()
+}
+
+func (s *Store) replaceFile(next, name string, m proto.Message) error {
+	data, err := encodeRecord(m)
+	if err != nil {
+		return err
+	}
+	f, err := s.files.Create(next)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return errors.Join(s.files.Rename(next, name), s.files.SyncDir())
+}
+
+// Close closes the log.
+func (s *Store) Close() error { return s.log.Close() }
+
+func encodeRecord(m proto.Message) ([]byte, error) {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	data := make([]byte, headerLen, headerLen+len(payload))
+	binary.LittleEndian.PutUint32(data, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(data[4:], crc32.Checksum(payload, castagnoli))
+	return append(data, payload...), nil
+}
+
+// cutRecord takes the first record off the data; false where it is not whole.
+func cutRecord(data []byte) (payload, rest []byte, ok bool) {
+	if len(data) < headerLen {
+		return nil, nil, false
+	}
+	length := int(binary.LittleEndian.Uint32(data))
+	if length == 0 || length > len(data)-headerLen {
+		return nil, nil, false
+	}
+	payload = data[headerLen : headerLen+length]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return nil, nil, false
+	}
+	return payload, data[headerLen+length:], true
+}
--- /dev/null
+++ b/internal/storage/storagetest/memory.go
@@ -0,0 +1,153 @@
+// Package storagetest has a data folder in memory for tests.
+package storagetest
+
+import (
+	"bytes"
+	"errors"
+	"os"
+
+	"oxbowsaddle/internal/storage"
+)
+
+// Memory is a data folder in memory that forgets, at a crash, what was not
+// synced. Tests use it to crash at every write and sync.
+type Memory struct {
+	synced  map[string][]byte // what a crash leaves
+	current map[string][]byte // what a reader sees
+	steps   int               // writes and syncs left before the crash; below 0 is none
+	crashed bool
+}
+
+// ErrCrashed is returned by everything after the crash.
+var ErrCrashed = errors.New("crashed")
+
+// NewMemory returns an empty folder.
+func NewMemory() *Memory {
+	return &Memory{synced: map[string][]byte{}, current: map[string][]byte{}, steps: -1}
+}
+
+// CrashAfter makes the folder crash after so many more writes and syncs.
+func (m *Memory) CrashAfter(steps int) { m.steps = steps }
+
+// Crashed reports whether the crash has come.
+func (m *Memory) Crashed() bool { return m.crashed }
+
+// Restart makes the folder usable again with what was synced. Of what was
+// appended and not synced, keep bytes are left over as a torn write.
+func (m *Memory) Restart(keep int) {
+	for name, data := range m.current {
+		base := m.synced[name]
+		if _, known := m.synced[name]; !known {
+			delete(m.current, name)
+			continue
+		}
+		if bytes.HasPrefix(data, base) {
+			base = data[:min(len(data), len(base)+keep)]
+		}
+		m.current[name] = append([]byte(nil), base...)
+	}
+	for name, data := range m.synced {
+		if _, there := m.current[name]; !there {
+			m.current[name] = append([]byte(nil), data...)
+		}
+	}
+	m.crashed, m.steps = false, -1
+}
+
+// Damage flips one byte of a file.
+func (m *Memory) Damage(name string, at int) {
+	m.current[name][at] ^= 0x55
+	m.synced[name] = append([]byte(nil), m.current[name]...)
+}
+
+// Put sets a file as if it had been written and synced.
+func (m *Memory) Put(name string, data []byte) {
+	m.current[name] = data
+	m.synced[name] = append([]byte(nil), data...)
+}
+
+// Bytes returns what a reader sees of a file.
+func (m *Memory) Bytes(name string) []byte { return m.current[name] }
+
+func (m *Memory) step() error {
+	if m.crashed {
+		return ErrCrashed
+	}
+	if m.steps == 0 {
+		m.crashed = true
+		return ErrCrashed
+	}
+	if m.steps > 0 {
+		m.steps--
+	}
+	return nil
+}
+
+// Files returns the folder by functions.
+func (m *Memory) Files() storage.Files {
+	return storage.Files{
+		Read: func(name string) ([]byte, error) {
+			data, ok := m.current[name]
+			if !ok {
+				return nil, os.ErrNotExist
+			}
+			return append([]byte(nil), data...), nil
+		},
+		Append: func(name string) (*storage.File, error) {
+			if _, ok := m.current[name]; !ok {
+				m.current[name] = nil
+			}
+			return m.file(name), nil
+		},
+		Create: func(name string) (*storage.File, error) {
+			m.current[name] = nil
+			return m.file(name), nil
+		},
+		Rename: func(from, to string) error {
+			if err := m.step(); err != nil {
+				return err
+			}
+			m.current[to] = m.current[from]
+			delete(m.current, from)
+			// A rename lasts whole or not at all; a crash before SyncDir keeps the old file.
+			return nil
+		},
+		Remove: func(name string) error {
+			delete(m.current, name)
+			return nil
+		},
+		SyncDir: func() error {
+			if err := m.step(); err != nil {
+				return err
+			}
+			for name, data := range m.current {
+				m.synced[name] = append([]byte(nil), data...)
+			}
+			return nil
+		},
+	}
+}
+
+func (m *Memory) file(name string) *storage.File {
+	return &storage.File{
+		Write: func(data []byte) (int, error) {
+			m.current[name] = append(m.current[name], data...)
+			if err := m.step(); err != nil {
+				return 0, err
+			}
+			return len(data), nil
+		},
+		Sync: func() error {
+			if err := m.step(); err != nil {
+				return err
+			}
+			m.synced[name] = append([]byte(nil), m.current[name]...)
+			return nil
+		},
+		Truncate: func(size int64) error {
+			m.current[name] = m.current[name][:size]
+			return nil
+		},
+		Close: func() error { return nil },
+	}
+}
