--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -20,7 +20,7 @@
 	w := &wire.State{
 		Index: s.index, Revision: s.revision, Checksum: s.checksum,
 		NextEndpoint: s.nextID, NextService: s.nextSvc,
-		History: s.history, Cut: s.table.Cut(), Returned: s.table.Returned(),
+		History: s.history, LossIndex: s.table.LossIndex(), Cut: s.table.Cut(), Returned: s.table.Returned(),
 	}
 	for _, key := range sortedObjects(s.objects) {
 		w.Objects = append(w.Objects, s.objects[key])
@@ -29,7 +29,7 @@
 		w.Outcomes = append(w.Outcomes, s.outcomes[id])
 	}
 	for _, m := range s.table.Members() {
-		w.Members = append(w.Members, &wire.Member{Name: m.Name(), Domain: m.Domain(), Incarnation: m.Incarnation(), Leaving: m.Leaving()})
+		w.Members = append(w.Members, &wire.Member{Name: m.Name(), Domain: m.Domain(), Incarnation: m.Incarnation(), Leaving: m.Leaving(), JoinedAt: m.JoinedAt()})
 	}
 	s.table.Services(func(svc *route.Service) {
 		w.Services = append(w.Services, storeService(svc))
@@ -51,7 +51,7 @@
 }
 
 func storeService(s *route.Service) *wire.StoredService {
-	w := &wire.StoredService{Id: s.ID(), Name: s.Name(), Buckets: make([]uint32, s.BucketCount())}
+	w := &wire.StoredService{Id: s.ID(), Name: s.Name(), Buckets: make([]uint32, s.BucketCount()), CreatedAt: s.CreatedAt()}
 	for b := range w.Buckets {
 		w.Buckets[b] = s.Current(uint32(b))
 	}
@@ -106,7 +106,7 @@
 		for _, t := range svc.Open {
 			open[t.Bucket] = route.Transition{Default: t.Default, Previous: t.Previous, Current: t.Current, MovedAt: t.MovedAt, Flipped: t.Flipped}
 		}
-		b.Restore(svc.Id, svc.Buckets, open)
+		b.Restore(svc.Id, svc.Buckets, open, svc.CreatedAt)
 	}
 	for _, e := range w.Endpoints {
 		if err := s.restoreEndpoint(b, e); err != nil {
@@ -114,7 +114,7 @@
 		}
 	}
 	for _, m := range w.Members {
-		b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving))
+		b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving, m.JoinedAt))
 	}
 	for _, d := range w.Cut {
 		b.MarkCut(d)
@@ -122,6 +122,7 @@
 	for _, d := range w.Returned {
 		b.MarkReturned(d)
 	}
+	b.RestoreLoss(w.LossIndex)
 	s.table = b.Table()
 	return nil
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -161,9 +161,16 @@
 		}
 	case *wire.Command_Members:
 		for _, m := range body.Members.Joined {
-			b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving))
+			joined := s.index
+			if old, listed := b.Table().Member(m.Name); listed && old.Incarnation() == m.Incarnation {
+				joined = old.JoinedAt()
+			}
+			b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving, joined))
 		}
 		for _, name := range body.Members.Left {
+			b.LoseMember(name)
+		}
+		for _, name := range body.Members.Stopped {
 			b.RemoveMember(name)
 		}
 	case *wire.Command_Suspect:
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,7 @@
 		active     uint64
 		members    map[string]*member
 		joining    map[string]*wire.Member
+		stopping   map[string]bool // entries that have said their last word
 		returned   map[string]*comeback
 		cutOff     map[string][]string // entries that a domain had when it was lost
 		open       map[bucketKey]*transition
@@ -87,7 +88,7 @@
 func New(c Config, now time.Time, state *control.State, startIndex uint64) *Controller {
 	k := &Controller{
 		config: c, state: state, startIndex: startIndex,
-		members: map[string]*member{}, joining: map[string]*wire.Member{}, returned: map[string]*comeback{}, cutOff: map[string][]string{},
+		members: map[string]*member{}, joining: map[string]*wire.Member{}, stopping: map[string]bool{}, returned: map[string]*comeback{}, cutOff: map[string][]string{},
 		open: map[bucketKey]*transition{}, planned: map[uint32]plan{},
 		assessor: health.New(c.Health, now),
 	}
@@ -117,6 +118,10 @@
 		return Grant{Active: k.active}
 	}
 	k.active = max(k.active, min(r.Active, k.state.Index()))
+	if r.Stopped {
+		k.stopped(r)
+		return Grant{Active: k.active}
+	}
 	m := k.members[r.Name]
 	if m == nil || m.incarnation != r.Incarnation {
 		m = k.replace(m, r)
@@ -147,6 +152,15 @@
 	return m
 }
 
+// stopped notes the last beat of a planned stop: the entry decides no more.
+func (k *Controller) stopped(r *wire.BeatRequest) {
+	if m, listed := k.state.Table().Member(r.Name); listed && m.Incarnation() == r.Incarnation {
+		k.stopping[r.Name] = true
+		delete(k.members, r.Name)
+		delete(k.joining, r.Name)
+	}
+}
+
 // admitted reports whether the state lists this life of the entry; else it
 // notes the entry to be listed.
 func (k *Controller) admitted(r *wire.BeatRequest) bool {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -21,6 +21,11 @@
 	alive := k.aliveDomains(now)
 	commands = append(commands, k.noteReturns(now, alive)...)
 	for _, m := range k.state.Table().Members() {
+		if k.stopping[m.Name()] {
+			change.Stopped = append(change.Stopped, m.Name())
+			k.assessor.Forget(m.Name())
+			continue
+		}
 		have := k.members[m.Name()]
 		if have != nil && now.Before(k.staysUntil(have)) || joins(change, m.Name()) {
 			continue
@@ -38,7 +43,8 @@
 			k.assessor.Forget(m.Name())
 		}
 	}
-	if len(change.Joined)+len(change.Left) > 0 {
+	clear(k.stopping)
+	if len(change.Joined)+len(change.Left)+len(change.Stopped) > 0 {
 		commands = append(commands, &wire.Command{Body: &wire.Command_Members{Members: change}})
 	}
 	return commands
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,200 @@
+// Package entry joins the decisions on flows and on work into what one entry
+// does with a packet. It has no input or output: packets and the time go in,
+// what is to be sent comes out. One goroutine uses a Core.
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/flow"
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+	"oxbowsaddle/internal/work"
+)
+
+// Where a Send goes.
+const (
+	ToFabric  Target = iota // an answer for a caller
+	ToBackend               // to an endpoint
+	ToPeer                  // to another entry
+)
+
+type (
+	// Target says where a Send goes.
+	Target uint8
+
+	// Send is one datagram to be sent. Inner may point into the buffer of the
+	// packet that was taken last.
+	Send struct {
+		Target   Target
+		Endpoint *route.Endpoint
+		Peer     string
+		Inner    []byte       // the inner packet
+		Relay    packet.Relay // of a relayed packet
+		Relayed  bool
+		Message  *wire.Peer // instead of a packet
+	}
+
+	// View is what the control goroutine tells the core.
+	View struct {
+		Flow  *flow.View
+		Steps []*route.Table
+	}
+
+	// Config is what a Core is made from. The functions are told of each
+	// decision, for counters, explanations and traces; they may be nil.
+	Config struct {
+		Flow   flow.Config
+		Work   work.Config
+		OnFlow func(now time.Time, v flow.Verdict, p *packet.Packet, answer bool)
+		OnWork func(now time.Time, e work.Event)
+	}
+
+	// Core decides for one entry.
+	Core struct {
+		config Config
+		view   *View
+		flow   *flow.Engine
+		work   *work.Engine
+		sends  []Send
+	}
+)
+
+// New returns a core that knows nothing.
+func New(c Config, now time.Time) *Core {
+	if c.OnFlow == nil {
+		c.OnFlow = func(time.Time, flow.Verdict, *packet.Packet, bool) {}
+	}
+	if c.OnWork == nil {
+		c.OnWork = func(time.Time, work.Event) {}
+	}
+	return &Core{config: c, view: &View{Flow: &flow.View{Table: route.Empty()}}, flow: flow.New(c.Flow, now), work: work.New(c.Work)}
+}
+
+// Flow returns the engine for flows, to be read.
+func (c *Core) Flow() *flow.Engine { return c.flow }
+
+// Work returns the engine for work, to be read.
+func (c *Core) Work() *work.Engine { return c.work }
+
+// SetView takes a new view.
+func (c *Core) SetView(now time.Time, v *View) {
+	if v == c.view {
+		return
+	}
+	c.view = v
+	c.flow.SetView(v.Flow)
+	c.work.SetView(now, &work.View{
+		Table: v.Flow.Table, Steps: v.Steps, LeaseUntil: v.Flow.LeaseUntil,
+		Island: v.Flow.Island, Reachable: v.Flow.Reachable, Domains: v.Flow.Domains,
+	})
+}
+
+// TakeSends returns what is to be sent and forgets it; valid until the next call.
+func (c *Core) TakeSends(now time.Time) []Send {
+	c.collect(now)
+	sends := c.sends
+	c.sends = c.sends[:0]
+	return sends
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Time) {
+	c.flow.Tick(now)
+	c.work.Tick(now)
+}
+
+// TakePeer takes a message from another entry.
+func (c *Core) TakePeer(now time.Time, m *wire.Peer) {
+	c.flow.Peer(now, m)
+	c.work.Peer(now, m)
+}
+
+// Take takes a packet from the fabric, a backend server or another entry.
+func (c *Core) Take(now time.Time, from netip.AddrPort, p *packet.Packet) {
+	tuple := p.Tuple()
+	table := c.view.Flow.Table
+	if service, class := table.Lookup(route.ServiceKey{Addr: tuple.Dst(), Transport: tuple.Transport()}); service != nil {
+		c.inbound(now, service, class, p)
+		return
+	}
+	service, class := table.Lookup(route.ServiceKey{Addr: tuple.Src(), Transport: tuple.Transport()})
+	switch {
+	case service == nil:
+		c.config.OnFlow(now, c.flow.Inbound(now, p), p, false) // counted there as unknown
+	case class.Work:
+		c.work.Answer(now, from, service, p)
+	default:
+		c.answer(now, from, p)
+	}
+}
+
+func (c *Core) inbound(now time.Time, service *route.Service, class *route.Class, p *packet.Packet) {
+	if class.Work {
+		c.work.Request(now, service, class, p)
+		return
+	}
+	v := c.flow.Inbound(now, p)
+	c.config.OnFlow(now, v, p, false)
+	c.carryOut(v, p)
+}
+
+func (c *Core) answer(now time.Time, from netip.AddrPort, p *packet.Packet) {
+	v := c.flow.Answer(now, from, p)
+	c.config.OnFlow(now, v, p, true)
+	switch v.Action() {
+	case flow.Forward:
+		c.sends = append(c.sends, Send{Target: ToFabric, Inner: p.Inner()})
+	case flow.Relay:
+		c.sends = append(c.sends, Send{Target: ToPeer, Peer: v.Peer(), Inner: p.Inner(), Relay: v.Relay(), Relayed: true})
+	default: // dropped and counted
+	}
+}
+
+// carryOut turns a verdict on a caller's packet into what is sent.
+func (c *Core) carryOut(v flow.Verdict, p *packet.Packet) {
+	switch v.Action() {
+	case flow.Forward:
+		c.sends = append(c.sends, Send{Target: ToBackend, Endpoint: v.Endpoint(), Inner: p.Inner()})
+	case flow.Relay:
+		c.sends = append(c.sends, Send{Target: ToPeer, Peer: v.Peer(), Inner: p.Inner(), Relay: v.Relay(), Relayed: true})
+	case flow.Reset:
+		if reset, err := packet.BuildReset(p); err == nil {
+			c.sends = append(c.sends, Send{Target: ToFabric, Inner: reset})
+		}
+	default: // dropped and counted, or kept by the engine
+	}
+}
+
+// collect adds what the engines want sent beside the packet at hand.
+func (c *Core) collect(now time.Time) {
+	for _, o := range c.flow.TakeOut() {
+		if o.Message != nil {
+			c.sends = append(c.sends, Send{Target: ToPeer, Peer: o.Peer, Message: o.Message})
+			continue
+		}
+		c.config.OnFlow(now, o.Verdict, o.Packet, false)
+		c.carryOut(o.Verdict, o.Packet)
+	}
+	for _, o := range c.work.TakeOut() {
+		c.sends = append(c.sends, workSend(o))
+	}
+	for _, e := range c.work.TakeEvents() {
+		c.config.OnWork(now, e)
+	}
+}
+
+func workSend(o work.Out) Send {
+	switch o.Kind {
+	case work.ToBackend:
+		return Send{Target: ToBackend, Endpoint: o.Endpoint, Inner: o.Inner}
+	case work.ToPeer:
+		return Send{Target: ToPeer, Peer: o.Peer, Message: o.Message}
+	case work.RelayRequest, work.RelayAnswer:
+		return Send{Target: ToPeer, Peer: o.Peer, Inner: o.Inner, Relay: o.Relay, Relayed: true}
+	default:
+		return Send{Target: ToFabric, Inner: o.Inner}
+	}
+}
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -130,7 +130,7 @@
 // release decides on the packets that had waited.
 func (e *Engine) release(q *question, decide func(*packet.Packet) Verdict) {
 	for _, p := range q.packets {
-		e.out = append(e.out, Out{Inner: p.Inner(), Tuple: p.Tuple(), Verdict: decide(p)})
+		e.out = append(e.out, Out{Packet: p, Verdict: decide(p)})
 	}
 }
 
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -24,11 +24,10 @@
 	// Out is something that the engine wants sent beside the verdict on the
 	// packet at hand: a message to a peer, or a packet that had waited.
 	Out struct {
-		Peer    string       // for a message
-		Message *wire.Peer   // nil for a packet
-		Inner   []byte       // the packet
-		Tuple   packet.Tuple // of the packet
-		Verdict Verdict      // on the packet
+		Peer    string         // for a message
+		Message *wire.Peer     // nil for a packet
+		Packet  *packet.Packet // one that had waited
+		Verdict Verdict        // on it
 	}
 
 	// Stats counts what the engine holds and has done.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,9 +13,13 @@
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/flow"
 	"oxbowsaddle/internal/peer"
+	"oxbowsaddle/internal/route"
 	"oxbowsaddle/internal/wire"
 )
 
+// keptSteps bounds the tables that are kept for readers that were slow.
+const keptSteps = 32
+
 type (
 	// Config names the entry.
 	Config struct {
@@ -38,6 +42,8 @@
 		stopping   bool
 		leavingAt  uint64 // index from which the state lists it as leaving
 		download   download
+		steps      []*route.Table
+		stopped    bool
 		view       *flow.View
 	}
 
@@ -77,6 +83,12 @@
 // Stop makes the following beats announce a planned stop.
 func (c *Core) Stop() { c.stopping = true }
 
+// Stopped makes the next beat the last: everything is handed over.
+func (c *Core) Stopped() { c.stopped = true }
+
+// Steps returns the last tables at which the entries changed, in order.
+func (c *Core) Steps() []*route.Table { return c.steps }
+
 // Leaving reports whether the state lists this entry as one that stops.
 func (c *Core) Leaving() bool {
 	m, ok := c.state.Table().Member(c.config.Name)
@@ -106,7 +118,7 @@
 func (c *Core) Request(count flow.Count, loads []*wire.EndpointLoad) *wire.BeatRequest {
 	r := &wire.BeatRequest{
 		Name: c.config.Name, Domain: c.config.Domain, Incarnation: c.config.Incarnation,
-		Applied: c.state.Index(), Checksum: c.state.Checksum(), Active: c.active, Stopping: c.stopping,
+		Applied: c.state.Index(), Checksum: c.state.Checksum(), Active: c.active, Stopping: c.stopping, Stopped: c.stopped,
 		CountedIndex: count.Index, Loads: loads, ChunkIndex: c.download.index, ChunkOffset: uint64(len(c.download.data)),
 	}
 	for _, row := range count.Rows {
@@ -151,13 +163,25 @@
 		if e.Index <= c.state.Index() {
 			continue
 		}
+		before := c.state.Table().Members()
 		if _, err := c.state.Apply(e.Index, e.Command); err != nil {
 			return err
 		}
+		c.noteStep(before)
 	}
 	return nil
 }
 
+// noteStep keeps the table where the entries have changed. The slice is
+// copied, since views hold it.
+func (c *Core) noteStep(before []route.Member) {
+	if slices.Equal(before, c.state.Table().Members()) {
+		return
+	}
+	steps := c.steps[max(0, len(c.steps)-keptSteps+1):]
+	c.steps = append(slices.Clone(steps), c.state.Table())
+}
+
 func (c *Core) learnChunk(s *wire.Snapshot) error {
 	if s.Index <= c.state.Index() {
 		return nil
--- a/internal/packet/encode.go
+++ b/internal/packet/encode.go
@@ -92,14 +92,19 @@
 	return buf.Bytes(), nil
 }
 
-// BuildReset returns the RST that ends the flow a caller's packet belongs to.
-func BuildReset(t Tuple, f Flags, seq, ack uint32, payloadLen int) ([]byte, error) {
-	answer := Flags{rst: true, ack: true}
-	next := seq + uint32(payloadLen)
-	if f.syn || f.fin {
+// BuildReset returns the RST that ends the flow of a caller's TCP packet.
+func BuildReset(p *Packet) ([]byte, error) {
+	var d Decoder
+	var fresh Packet
+	if r := d.DecodeInner(p.inner, &fresh); r != Decoded || fresh.tuple.transport != TCP {
+		return nil, fmt.Errorf("no reset for a packet that is %s %s", r, fresh.tuple.transport)
+	}
+	seq, ack := d.TCPSequence()
+	next := seq + uint32(len(fresh.payload))
+	if fresh.flags.syn || fresh.flags.fin {
 		next++
 	}
-	return Build(t.Reverse(), answer, ack, next, nil)
+	return Build(fresh.tuple.Reverse(), Flags{rst: true, ack: true}, ack, next, nil)
 }
 
 func networkLayer(t Tuple) (gopacket.NetworkLayer, gopacket.SerializableLayer) {
--- a/internal/route/builder.go
+++ b/internal/route/builder.go
@@ -37,7 +37,7 @@
 	}
 	s := b.service(id)
 	if s == nil {
-		s = &Service{id: id, buckets: make([]uint32, buckets), open: map[uint32]Transition{}}
+		s = &Service{id: id, buckets: make([]uint32, buckets), open: map[uint32]Transition{}, createdAt: b.next.index}
 		b.next.services[id-1] = s
 		b.touched[id] = true
 	}
@@ -164,13 +164,24 @@
 
 // PutMember adds or replaces a live entry.
 func (b *Builder) PutMember(m Member) {
+	if old, listed := b.next.Member(m.name); listed && old.incarnation != m.incarnation {
+		b.next.lossIndex = b.next.index
+	}
 	members := slices.DeleteFunc(slices.Clone(b.next.members), func(o Member) bool { return o.name == m.name })
 	members = append(members, m)
 	slices.SortFunc(members, func(x, y Member) int { return strings.Compare(x.name, y.name) })
 	b.next.members = members
 }
 
-// RemoveMember drops an entry from the live ones.
+// LoseMember drops an entry that is gone without a word.
+func (b *Builder) LoseMember(name string) {
+	if _, listed := b.next.Member(name); listed {
+		b.next.lossIndex = b.next.index
+	}
+	b.RemoveMember(name)
+}
+
+// RemoveMember drops an entry that has handed everything over.
 func (b *Builder) RemoveMember(name string) {
 	b.next.members = slices.DeleteFunc(slices.Clone(b.next.members), func(o Member) bool { return o.name == name })
 }
@@ -236,9 +247,12 @@
 }
 
 // Restore sets the whole placement of a service, as a snapshot holds it.
-func (b *Builder) Restore(service uint32, buckets []uint32, open map[uint32]Transition) {
+func (b *Builder) Restore(service uint32, buckets []uint32, open map[uint32]Transition, createdAt uint64) {
 	b.copyServices()
 	if s := b.service(service); s != nil {
-		s.buckets, s.open = buckets, open
+		s.buckets, s.open, s.createdAt = buckets, open, createdAt
 	}
 }
+
+// RestoreLoss sets the index of the last loss of an entry.
+func (b *Builder) RestoreLoss(index uint64) { b.next.lossIndex = index }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -76,6 +76,7 @@
 		endpoints []uint32
 		buckets   []uint32
 		open      map[uint32]Transition
+		createdAt uint64
 	}
 
 	// Class is one address of a service and how its traffic is treated.
@@ -110,6 +111,7 @@
 		domain      string
 		incarnation uint64
 		leaving     bool
+		joinedAt    uint64
 		seed        uint64
 	}
 )
@@ -133,6 +135,13 @@
 	return FlowID{high, low}
 }
 
+// Request returns the id of the request that a caller's tuple and token name.
+func (h Hasher) Request(t packet.Tuple, token []byte) FlowID {
+	flow := h.Flow(t)
+	high, low := siphash.Hash128(flow.High, flow.Low, token)
+	return FlowID{high, low}
+}
+
 // NewEndpoint returns an endpoint.
 func NewEndpoint(c EndpointConfig) *Endpoint {
 	return &Endpoint{c.ID, c.Service, c.Name, c.Addr, c.Domain, c.Slots, c.Connections, c.Leaving}
@@ -174,6 +183,9 @@
 // Endpoints returns the ids of the endpoints in order; not to be changed.
 func (s *Service) Endpoints() []uint32 { return s.endpoints }
 
+// CreatedAt returns the index at which the service came to be.
+func (s *Service) CreatedAt() uint64 { return s.createdAt }
+
 // Policy returns what the template of the service's team decides.
 func (s *Service) Policy() Policy { return s.policy }
 
@@ -208,8 +220,8 @@
 }
 
 // NewMember returns a live entry.
-func NewMember(name, domain string, incarnation uint64, leaving bool) Member {
-	return Member{name, domain, incarnation, leaving, siphash.Hash(1, 2, []byte(name))}
+func NewMember(name, domain string, incarnation uint64, leaving bool, joinedAt uint64) Member {
+	return Member{name, domain, incarnation, leaving, joinedAt, siphash.Hash(1, 2, []byte(name))}
 }
 
 // Name returns the name of the instance.
@@ -224,6 +236,9 @@
 // Leaving reports a planned stop.
 func (m Member) Leaving() bool { return m.leaving }
 
+// JoinedAt returns the index at which this life of the entry was listed.
+func (m Member) JoinedAt() uint64 { return m.joinedAt }
+
 // score orders the members for one bucket: rendezvous hashing.
 func (m Member) score(service, bucket uint32) uint64 {
 	return siphash.Hash(m.seed, uint64(service)<<32|uint64(bucket), nil)
@@ -273,6 +288,7 @@
 	members   []Member
 	cut       []string // domains that may hold flows which the others cannot ask about
 	returned  []string // domains that are back and can be asked
+	lossIndex uint64   // of the last command that dropped or replaced an entry
 }
 
 // Empty returns a table without services.
@@ -355,6 +371,9 @@
 // Returned returns the domains that were cut off and can be asked again.
 func (t *Table) Returned() []string { return t.returned }
 
+// LossIndex returns the index at which an entry was last dropped or replaced.
+func (t *Table) LossIndex() uint64 { return t.lossIndex }
+
 // Suspect reports whether flows may exist that the table does not place: the
 // owner then asks its peers before it takes a bucket's endpoint for granted.
 func (t *Table) Suspect() bool { return len(t.cut)+len(t.returned) > 0 }
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Fault is one thing wrong with a settings file.
+type Fault struct {
+	Line  int
+	Field string
+	Text  string
+}
+
+// String returns line, field and text.
+func (f Fault) String() string { return fmt.Sprintf("line %d: %s: %s", f.Line, f.Field, f.Text) }
+
+func join(path string, faults []Fault) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d faults in %s", len(faults), path)
+	for _, f := range faults {
+		fmt.Fprintf(&b, "\n  %s:%d: %s: %s", path, f.Line, f.Field, f.Text)
+	}
+	return b.String()
+}
+
+// parser walks the file's values beside the type that they are read into.
+type parser struct {
+	data   []byte
+	faults []Fault
+	lines  map[string]int // line of each field by its path
+}
+
+// Parse reads settings over the defaults and returns every fault.
+func Parse(data []byte) (Settings, []Fault) {
+	p := &parser{data: data, lines: map[string]int{}}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return Settings{}, []Fault{{Line: syntaxLine(data, err), Field: "file", Text: err.Error()}}
+	}
+	s := Default()
+	p.walk(&root, reflect.ValueOf(&s).Elem(), "")
+	s.check(p)
+	slices.SortStableFunc(p.faults, func(a, b Fault) int { return a.Line - b.Line })
+	return s, p.faults
+}
+
+// syntaxLine takes the line out of an error such as "hujson: line 3, column 5: ...".
+func syntaxLine(data []byte, err error) int {
+	line := 0
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d", &line); scanErr != nil {
+		return 1 + bytes.Count(data, []byte("\n"))
+	}
+	return line
+}
+
+func (p *parser) add(field, format string, args ...any) {
+	p.faults = append(p.faults, Fault{p.line(field), field, fmt.Sprintf(format, args...)})
+}
+
+// line returns the line of a field, or of the nearest one around it.
+func (p *parser) line(field string) int {
+	for field != "" {
+		if line, ok := p.lines[field]; ok {
+			return line
+		}
+		field = field[:max(strings.LastIndexAny(field, ".["), 0)]
+	}
+	return 1
+}
+
+func (p *parser) note(field string, offset int) {
+	p.lines[field] = 1 + bytes.Count(p.data[:min(offset, len(p.data))], []byte("\n"))
+}
+
+// walk reads one value into a place of the settings.
+func (p *parser) walk(v *hujson.Value, into reflect.Value, path string) {
+	if path != "" {
+		p.note(path, v.StartOffset)
+	}
+	if _, isText := into.Addr().Interface().(encoding.TextUnmarshaler); isText {
+		p.leaf(v, into, path)
+		return
+	}
+	switch into.Kind() {
+	case reflect.Struct:
+		p.object(v, into, path)
+	case reflect.Slice:
+		p.array(v, into, path)
+	default:
+		p.leaf(v, into, path)
+	}
+}
+
+func (p *parser) leaf(v *hujson.Value, into reflect.Value, path string) {
+	plain := v.Clone()
+	plain.Standardize()
+	if err := json.Unmarshal(plain.Pack(), into.Addr().Interface()); err != nil {
+		p.add(path, "%s is not a valid %s", strings.TrimSpace(string(plain.Pack())), into.Type())
+	}
+}
+
+func (p *parser) object(v *hujson.Value, into reflect.Value, path string) {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		p.add(path, "must be an object")
+		return
+	}
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		literal, _ := member.Name.Value.(hujson.Literal)
+		name := literal.String()
+		field := strings.TrimPrefix(path+"."+name, ".")
+		p.note(field, member.Name.StartOffset)
+		place, known := fieldByTag(into, name)
+		switch {
+		case !known:
+			p.add(field, "unknown field")
+		case seen[name]:
+			p.add(field, "named twice")
+		default:
+			p.walk(&member.Value, place, field)
+		}
+		seen[name] = true
+	}
+}
+
+func fieldByTag(into reflect.Value, name string) (reflect.Value, bool) {
+	for i := range into.NumField() {
+		if into.Type().Field(i).Tag.Get("json") == name {
+			return into.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func (p *parser) array(v *hujson.Value, into reflect.Value, path string) {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		p.add(path, "must be a list")
+		return
+	}
+	into.Set(reflect.MakeSlice(into.Type(), len(array.Elements), len(array.Elements)))
+	for i := range array.Elements {
+		p.walk(&array.Elements[i], into.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -4,39 +4,49 @@
 	"net/netip"
 	"time"
 
+	"oxbowsaddle/internal/entry"
 	"oxbowsaddle/internal/flow"
 	"oxbowsaddle/internal/member"
 	"oxbowsaddle/internal/packet"
 	"oxbowsaddle/internal/peer"
-	"oxbowsaddle/internal/wire"
+	"oxbowsaddle/internal/work"
 )
 
-// entry is an entry instance in one of its lives.
-type entry struct {
+// instance is an entry instance in one of its lives.
+type instance struct {
 	world        *World
 	name, domain string
 	incarnation  uint64
 	alive        bool
 	pausedUntil  time.Time
-	core         *member.Core
-	engine       *flow.Engine
+	member       *member.Core
+	entry        *entry.Core
+	view         entry.View
 }
 
 // start begins a life with empty memory.
-func (w *World) start(name, domain string) *entry {
+func (w *World) start(name, domain string) *instance {
 	incarnation := uint64(1)
 	if old := w.entries[name]; old != nil {
 		incarnation = old.incarnation + 1
 	}
-	e := &entry{world: w, name: name, domain: domain, incarnation: incarnation, alive: true}
-	e.core = member.New(member.Config{
+	e := &instance{world: w, name: name, domain: domain, incarnation: incarnation, alive: true}
+	e.member = member.New(member.Config{
 		Name: name, Domain: domain, Incarnation: incarnation,
 		Peers: peer.Config{Self: name, Domain: domain, HeardFor: 700 * time.Millisecond, IslandAfter: 800 * time.Millisecond},
 	})
-	e.engine = flow.New(flow.Config{
-		Self: name, Domain: domain, Hasher: w.hasher(), Flows: 4096, Records: 4096, Waiting: 256, AsksASecond: 2000,
-		PushBytes: 20000, AskTimeout: 40 * time.Millisecond, PushRetry: 60 * time.Millisecond,
-		HalfOpenLife: time.Second, SweepEvery: 200 * time.Millisecond,
+	e.entry = entry.New(entry.Config{
+		Flow: flow.Config{
+			Self: name, Domain: domain, Hasher: w.hasher(), Flows: 4096, Records: 4096, Waiting: 256, AsksASecond: 2000,
+			PushBytes: 20000, AskTimeout: 40 * time.Millisecond, PushRetry: 60 * time.Millisecond,
+			HalfOpenLife: time.Second, SweepEvery: 200 * time.Millisecond,
+		},
+		Work: work.Config{
+			Self: name, Domain: domain, Hasher: w.hasher(), Requests: 2000, HeldKeys: 20000,
+			HoldRetry: 40 * time.Millisecond, RetryFloor: 5,
+		},
+		OnFlow: func(_ time.Time, v flow.Verdict, _ *packet.Packet, _ bool) { w.count(v) },
+		OnWork: func(_ time.Time, v work.Event) { w.report.Reasons["work_"+v.State.String()+"_"+v.Cause.String()]++ },
 	}, w.now)
 	w.entries[name] = e
 	e.loop(step, e.tick)
@@ -47,7 +57,7 @@
 }
 
 // loop runs something again and again while this life lasts; a pause delays it.
-func (e *entry) loop(d time.Duration, run func()) {
+func (e *instance) loop(d time.Duration, run func()) {
 	e.world.after(d, func() {
 		if !e.alive {
 			return
@@ -58,7 +68,7 @@
 }
 
 // awake runs something now, or when a pause is over.
-func (e *entry) awake(run func()) {
+func (e *instance) awake(run func()) {
 	if !e.alive {
 		return
 	}
@@ -69,28 +79,41 @@
 	run()
 }
 
-func (e *entry) tick() {
-	e.engine.SetView(e.core.View(e.world.now))
-	e.engine.Tick(e.world.now)
+// look brings the entry's view up to date.
+func (e *instance) look() {
+	v := e.member.View(e.world.now)
+	if v != e.view.Flow {
+		e.view = entry.View{Flow: v, Steps: e.member.Steps()}
+		next := e.view
+		e.entry.SetView(e.world.now, &next)
+	}
+}
+
+func (e *instance) tick() {
+	e.look()
+	e.entry.Tick(e.world.now)
 	e.flush()
-	if e.core.MayStop(e.engine.LastCount(), e.engine.Stats().PushBacklog) {
+	stats := e.entry.Flow().Stats()
+	if e.member.MayStop(e.entry.Flow().LastCount(), stats.PushBacklog) && !e.entry.Work().Handing() {
+		e.member.Stopped()
+		e.beat()
 		e.alive = false
 	}
 }
 
-func (e *entry) beat() {
+func (e *instance) beat() {
 	w := e.world
 	sent := w.now
-	r := e.core.Request(e.engine.LastCount(), nil)
+	r := e.member.Request(e.entry.Flow().LastCount(), nil)
 	w.send(e.domain, leaderDomain, func() {
 		reply := w.beat(r)
 		w.send(leaderDomain, e.domain, func() {
 			e.awake(func() {
-				more, err := e.core.Reply(sent, reply)
+				more, err := e.member.Reply(sent, reply)
 				if err != nil {
 					w.fault("%s: %v", e.name, err)
 				}
-				e.engine.SetView(e.core.View(w.now))
+				e.look()
 				if more {
 					e.beat()
 				}
@@ -99,87 +122,59 @@
 	})
 }
 
-func (e *entry) probe() {
+func (e *instance) probe() {
 	w := e.world
-	leased := w.now.Before(e.core.LeaseUntil())
+	leased := w.now.Before(e.member.LeaseUntil())
 	for _, name := range w.names {
 		other := w.entries[name]
 		if name == e.name {
 			continue
 		}
 		w.send(e.domain, other.domain, func() {
-			other.awake(func() { other.core.Peers().Heard(w.now, e.name, leased) })
+			other.awake(func() { other.member.Peers().Heard(w.now, e.name, leased) })
 		})
 	}
 }
 
-// fromCaller takes a packet from the fabric or a peer.
-func (e *entry) fromCaller(inner []byte, relay *packet.Relay) {
-	e.engine.SetView(e.core.View(e.world.now))
-	p := decode(inner, relay)
-	e.carryOut(e.engine.Inbound(e.world.now, p), inner, p.Tuple())
+// take gives a packet to the entry, relayed or not.
+func (e *instance) take(from netip.AddrPort, inner []byte, relay *packet.Relay) {
+	e.look()
+	e.entry.Take(e.world.now, from, decode(inner, relay))
 	e.flush()
 }
 
-// fromBackend takes an answer from a backend server or a peer.
-func (e *entry) fromBackend(from netip.AddrPort, inner []byte, relay *packet.Relay) {
-	e.engine.SetView(e.core.View(e.world.now))
-	p := decode(inner, relay)
-	v := e.engine.Answer(e.world.now, from, p)
-	e.world.count(v)
-	switch v.Action() {
-	case flow.Forward:
-		e.world.toCaller(e.domain, p)
-	case flow.Relay:
-		e.relay(v, func(other *entry, r packet.Relay) { other.fromBackend(from, inner, &r) })
-	default:
-	}
-	e.flush()
-}
-
-func (e *entry) carryOut(v flow.Verdict, inner []byte, tuple packet.Tuple) {
-	w := e.world
-	w.count(v)
-	switch v.Action() {
-	case flow.Forward:
-		w.toBackend(e, v, inner)
-	case flow.Relay:
-		e.relay(v, func(other *entry, r packet.Relay) { other.fromCaller(inner, &r) })
-	case flow.Reset:
-		w.report.Reset++
-		w.resetCaller(e.domain, tuple, v.Reason().String())
-	default:
-	}
-}
-
-func (e *entry) relay(v flow.Verdict, deliver func(*entry, packet.Relay)) {
+func (e *instance) flush() {
 	w := e.world
-	other := w.entries[v.Peer()]
-	relay := v.Relay()
-	w.send(e.domain, other.domain, func() {
-		// The name is looked up again: a new life may have begun.
-		other := w.entries[v.Peer()]
-		other.awake(func() { deliver(other, relay) })
-	})
-}
-
-func (e *entry) flush() {
-	for _, o := range e.engine.TakeOut() {
-		if o.Message == nil {
-			e.carryOut(o.Verdict, o.Inner, o.Tuple)
-			continue
+	for _, s := range e.entry.TakeSends(w.now) {
+		switch s.Target {
+		case entry.ToFabric:
+			w.toCaller(e.domain, s.Inner)
+		case entry.ToBackend:
+			w.toBackend(e, s.Endpoint, s.Inner)
+		case entry.ToPeer:
+			e.toPeer(s)
 		}
-		e.sendPeer(o.Peer, o.Message)
 	}
 }
 
-func (e *entry) sendPeer(name string, m *wire.Peer) {
+// toPeer sends to another entry. Its name is looked up again at delivery: a
+// new life may have begun.
+func (e *instance) toPeer(s entry.Send) {
 	w := e.world
-	w.send(e.domain, w.entries[name].domain, func() {
-		other := w.entries[name]
+	to := w.entries[s.Peer]
+	if to == nil {
+		return
+	}
+	w.send(e.domain, to.domain, func() {
+		other := w.entries[s.Peer]
 		other.awake(func() {
-			other.engine.SetView(other.core.View(w.now))
-			other.engine.Peer(w.now, m)
+			if s.Message == nil {
+				relay := s.Relay
+				other.take(netip.AddrPort{}, s.Inner, &relay)
+				return
+			}
+			other.look()
+			other.entry.TakePeer(w.now, s.Message)
 			other.flush()
 		})
 	})
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -10,26 +10,43 @@
 
 const templateBody = `{"parameters":{}}`
 
+// deskEndpoints is how many endpoints the service of work has, and workSlots
+// how many requests each of them runs at a time.
+const (
+	deskEndpoints = 4
+	workSlots     = 3
+)
+
 // firstChange is the document that a world starts from.
 func (w *World) firstChange() *wire.Change {
-	team := fmt.Sprintf(`{"template":"portal","services":["booking"],"parameters":{"idle":%q,"balance":%g}}`, w.config.Idle, w.config.Balance)
-	return &wire.Change{Id: "first", Author: "soak", Objects: []*wire.Object{
-		{Kind: "template", Name: "portal", Body: []byte(templateBody)},
-		{Kind: "service", Name: "booking", Body: w.serviceBody(w.config.Endpoints)},
-		{Kind: "team", Name: "visa", Body: []byte(team)},
-	}}
+	team := fmt.Sprintf(`{"template":"portal","services":["booking","desk"],"first":["issue"],`+
+		`"parameters":{"idle":%q,"balance":%g,"request_life":%q}}`, w.config.Idle, w.config.Balance, requestLife)
+	objects := append(w.services(), &wire.Object{Kind: "template", Name: "portal", Body: []byte(templateBody)},
+		&wire.Object{Kind: "team", Name: "visa", Body: []byte(team)})
+	return &wire.Change{Id: "first", Author: "soak", Objects: objects}
+}
+
+// services returns both services as they should be now.
+func (w *World) services() []*wire.Object {
+	feed := `{"name":"feed","address":"` + serviceAddr + `","protocol":"tcp","kind":"flow"}`
+	issue := `{"name":"issue","address":"` + issueAddr + `","protocol":"udp","kind":"work"}`
+	batch := `{"name":"batch","address":"` + batchAddr + `","protocol":"udp","kind":"work","repeatable":true}`
+	return []*wire.Object{
+		{Kind: "service", Name: "booking", Body: w.serviceBody(feed, "b", 9000, w.config.Endpoints)},
+		{Kind: "service", Name: "desk", Body: w.serviceBody(issue+","+batch, "k", 9500, deskEndpoints)},
+	}
 }
 
-func (w *World) serviceBody(endpoints int) []byte {
-	body := `{"classes":[{"name":"feed","address":"` + serviceAddr + `","protocol":"tcp","kind":"flow"}],"endpoints":[`
+func (w *World) serviceBody(classes, prefix string, port, endpoints int) []byte {
+	body := `{"classes":[` + classes + `],"endpoints":[`
 	for i := range endpoints {
 		if i > 0 {
 			body += ","
 		}
-		name := fmt.Sprintf("b%d", i)
+		name := fmt.Sprint(prefix, i)
 		_, leaving := w.leaving[name]
-		body += fmt.Sprintf(`{"name":%q,"address":"127.0.0.1:%d","domain":"d%d","slots":3,"connections":2000,"leaving":%v}`,
-			name, 9000+i, i%w.config.Domains, leaving)
+		body += fmt.Sprintf(`{"name":%q,"address":"127.0.0.1:%d","domain":"d%d","slots":%d,"connections":2000,"leaving":%v}`,
+			name, port+i, i%w.config.Domains, workSlots, leaving)
 	}
 	return []byte(body + "]}")
 }
@@ -38,7 +55,7 @@
 	w.changes++
 	return w.commit(&wire.Command{Body: &wire.Command_Change{Change: &wire.Change{
 		Id: fmt.Sprint("change-", w.changes), Author: "soak", Base: w.state.Revision(),
-		Objects: []*wire.Object{{Kind: "service", Name: "booking", Body: w.serviceBody(w.config.Endpoints)}},
+		Objects: w.services(),
 	}}})
 }
 
@@ -54,6 +71,17 @@
 	}
 }
 
+// DrainDesk lets an endpoint for work leave, or come back; one always stays.
+func (w *World) DrainDesk(i int) {
+	name := fmt.Sprintf("k%d", i%deskEndpoints)
+	if _, leaving := w.leaving[name]; leaving {
+		delete(w.leaving, name)
+	} else if name != "k0" {
+		w.leaving[name] = w.now
+	}
+	w.change()
+}
+
 // Undrain lets an endpoint take work again.
 func (w *World) Undrain(i int) {
 	name := fmt.Sprintf("b%d", i)
@@ -80,7 +108,7 @@
 }
 
 // Stop ends an entry as planned: it hands its records over first.
-func (w *World) Stop(name string) { w.entries[name].core.Stop() }
+func (w *World) Stop(name string) { w.entries[name].member.Stop() }
 
 // Pause freezes an entry.
 func (w *World) Pause(name string, d time.Duration) {
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -28,7 +28,7 @@
 func (w *World) drawFault() {
 	name := w.names[w.rng.IntN(len(w.names))]
 	endpoint := w.rng.IntN(w.config.Endpoints)
-	switch w.rng.IntN(12) {
+	switch w.rng.IntN(13) {
 	case 0, 1:
 		w.Drain(endpoint)
 	case 2, 3:
@@ -52,7 +52,9 @@
 		w.Pause(name, time.Duration(w.rng.IntN(5000))*time.Millisecond)
 	case 9:
 		w.Cut(w.entries[name].domain, true)
-	case 10, 11:
+	case 10:
+		w.DrainDesk(endpoint)
+	case 11, 12:
 		for domain := range w.config.Domains {
 			w.Cut(fmt.Sprintf("d%d", domain), false)
 		}
@@ -84,16 +86,16 @@
 		if !e.alive {
 			continue
 		}
-		if !w.now.Before(e.core.LeaseUntil()) {
+		if !w.now.Before(e.member.LeaseUntil()) {
 			w.fault("at rest: %s has no lease", name)
 		}
-		if e.core.State().Index() == w.state.Index() && e.core.State().Checksum() != w.state.Checksum() {
+		if e.member.State().Index() == w.state.Index() && e.member.State().Checksum() != w.state.Checksum() {
 			w.fault("at rest: %s has another state at index %d", name, w.state.Index())
 		}
-		if behind := w.state.Index() - e.core.State().Index(); behind > 20 {
+		if behind := w.state.Index() - e.member.State().Index(); behind > 20 {
 			w.fault("at rest: %s is %d commands behind", name, behind)
 		}
-		if broken := e.engine.Stats().Broken; broken > 0 {
+		if broken := e.entry.Flow().Stats().Broken + e.entry.Work().Stats().Broken; broken > 0 {
 			w.fault("%s asserted a broken rule %d times", name, broken)
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,9 @@
 	for i := range 60 {
 		w.AddCaller(fmt.Sprintf("d%d", i%3))
 	}
+	for i := range 12 {
+		w.AddAsker(fmt.Sprintf("d%d", i%3), i%3 == 2)
+	}
 	w.Run(2 * time.Second)
 	return w
 }
@@ -22,8 +25,9 @@
 	for _, f := range r.Faults {
 		t.Errorf("seed %d: %s", seed, f)
 	}
-	if r.Split+r.Crossed+r.LateNew+r.ResetByBackend > 0 {
-		t.Errorf("seed %d: split %d, crossed %d, late %d, reset by backend %d", seed, r.Split, r.Crossed, r.LateNew, r.ResetByBackend)
+	if r.Split+r.Crossed+r.LateNew+r.ResetByBackend+r.RanTwice+r.FalseNotRun > 0 {
+		t.Errorf("seed %d: split %d, crossed %d, late %d, reset by backend %d, ran twice %d, false not run %d",
+			seed, r.Split, r.Crossed, r.LateNew, r.ResetByBackend, r.RanTwice, r.FalseNotRun)
 	}
 	return r
 }
@@ -73,7 +77,7 @@
 				w := newWorld(seed)
 				run(w)
 				r := check(t, w, seed)
-				t.Logf("flows %d ended %d reset %d undecided %d forwarded %d relayed %d %v", r.Flows, r.Ended, r.Reset, r.Undecided, r.Forwarded, r.Relayed, r.Reasons)
+				t.Logf("flows %d ended %d reset %d undecided %d forwarded %d relayed %d requests %d %v unanswered %d", r.Flows, r.Ended, r.Reset, r.Undecided, r.Forwarded, r.Relayed, r.Requests, r.Answers, r.Unanswered)
 			}
 		})
 	}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -5,8 +5,8 @@
 	"net/netip"
 	"time"
 
-	"oxbowsaddle/internal/flow"
 	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
 )
 
 const (
@@ -20,12 +20,13 @@
 	// backend is a backend server's endpoint: it accepts flows by SYN and
 	// answers a packet of a flow that it does not hold by RST.
 	backend struct {
-		world  *World
-		id     uint32
-		name   string
-		domain string
-		addr   netip.AddrPort
-		flows  map[packet.Tuple]time.Time
+		world   *World
+		id      uint32
+		name    string
+		domain  string
+		addr    netip.AddrPort
+		flows   map[packet.Tuple]time.Time
+		running int
 	}
 
 	// caller holds one flow at a time.
@@ -54,29 +55,33 @@
 )
 
 // toBackend delivers a packet to an endpoint and checks what must hold there.
-func (w *World) toBackend(e *entry, v flow.Verdict, inner []byte) {
-	endpoint := v.Endpoint()
+func (w *World) toBackend(e *instance, endpoint *route.Endpoint, inner []byte) {
 	b := w.backends[endpoint.ID()]
 	if b == nil {
 		b = &backend{world: w, id: endpoint.ID(), name: endpoint.Name(), domain: endpoint.Domain(), addr: endpoint.Addr(), flows: map[packet.Tuple]time.Time{}}
 		w.backends[endpoint.ID()] = b
 		w.byAddr[endpoint.Addr()] = b
 	}
-	if endpoint.Service() != 1 {
+	p := decode(inner, nil)
+	if work := p.Tuple().Transport() == packet.UDP; work != (endpoint.Service() == w.deskID()) {
 		w.report.Crossed++
-		w.fault("a packet for the first service went to endpoint %s", endpoint.Name())
+		w.fault("a packet for %v went to endpoint %s", p.Tuple().Dst(), endpoint.Name())
+	}
+	if p.Tuple().Transport() == packet.UDP {
+		w.sendOnce(e.domain, b.domain, func() { b.takeWork(p) })
+		return
 	}
-	w.send(e.domain, b.domain, func() { b.take(inner, e.name, v) })
+	w.send(e.domain, b.domain, func() { b.take(inner, e.name) })
 }
 
-func (b *backend) take(inner []byte, via string, v flow.Verdict) {
+func (b *backend) take(inner []byte, via string) {
 	w := b.world
 	p := decode(inner, nil)
 	_, held := b.flows[p.Tuple()]
 	switch {
 	case p.Flags().Opens():
 		if !held {
-			b.checkLeaving(p, via, v)
+			b.checkLeaving(p, via)
 		}
 		b.flows[p.Tuple()] = w.now
 		b.answer(p.Tuple(), packet.NewFlags(true, true, false, false))
@@ -87,13 +92,13 @@
 		b.flows[p.Tuple()] = w.now
 		b.answer(p.Tuple(), packet.NewFlags(false, true, false, false))
 	default:
-		w.checkSplit(p, b, via, v)
+		w.checkSplit(p, b, via)
 		b.answer(p.Tuple(), packet.NewFlags(false, true, false, true))
 	}
 }
 
 // checkLeaving asserts that a leaving endpoint gets no new flow after the bound.
-func (b *backend) checkLeaving(p *packet.Packet, via string, v flow.Verdict) {
+func (b *backend) checkLeaving(p *packet.Packet, via string) {
 	since, leaving := b.world.leaving[b.name]
 	if mended := b.world.mended[b.domain]; mended.After(since) {
 		since = mended // a domain that was cut off could not be told before
@@ -104,36 +109,41 @@
 	for _, c := range b.world.callers {
 		if c.tuple == p.Tuple() && c.state == callerOpening {
 			b.world.report.LateNew++
-			b.world.fault("%s got a new flow %v after it began to leave, via %s %v", b.name, b.world.now.Sub(since), via, v.Reason())
+			b.world.fault("%s got a new flow %v after it began to leave, via %s", b.name, b.world.now.Sub(since), via)
 		}
 	}
 }
 
 // checkSplit asserts that a packet of a flow which another endpoint has
 // accepted, and whose caller knows it, does not come here.
-func (w *World) checkSplit(p *packet.Packet, b *backend, via string, v flow.Verdict) {
+func (w *World) checkSplit(p *packet.Packet, b *backend, via string) {
 	for _, c := range w.callers {
 		if c.tuple == p.Tuple() && c.state == callerOpen && c.endpoint != b.id {
 			w.report.Split++
-			w.fault("flow %v on endpoint %d got to %d via %s: %v bucket %d", p.Tuple().Src(), c.endpoint, b.id, via, v.Reason(), v.Bucket())
+			w.fault("flow %v on endpoint %d got to %d via %s", p.Tuple().Src(), c.endpoint, b.id, via)
 		}
 	}
 }
 
-// answer sends a packet back by any entry that can be reached.
+// answer answers a packet of a flow; the payload names the endpoint.
 func (b *backend) answer(t packet.Tuple, f packet.Flags) {
-	w := b.world
 	inner, err := packet.Build(t.Reverse(), f, 1, 1, []byte{byte(b.id)})
 	if err != nil {
 		panic(err)
 	}
+	b.back(inner)
+}
+
+// back hands an answer to any entry that can be reached.
+func (b *backend) back(inner []byte) {
+	w := b.world
 	side := w.side(b.domain)
 	if len(side) == 0 {
 		return
 	}
 	e := side[w.rng.IntN(len(side))]
 	w.send(b.domain, e.domain, func() {
-		e.awake(func() { e.fromBackend(b.addr, inner, nil) })
+		e.awake(func() { e.take(b.addr, inner, nil) })
 	})
 }
 
@@ -197,15 +207,20 @@
 		return
 	}
 	e := side[w.rng.IntN(len(side))]
-	w.send(c.domain, e.domain, func() { e.awake(func() { e.fromCaller(inner, nil) }) })
+	w.send(c.domain, e.domain, func() { e.awake(func() { e.take(netip.AddrPort{}, inner, nil) }) })
 }
 
 // toCaller delivers an answer.
-func (w *World) toCaller(domain string, p *packet.Packet) {
-	inner := p.Clone()
+func (w *World) toCaller(domain string, inner []byte) {
+	p := decode(inner, nil)
 	for _, c := range w.callers {
 		if c.tuple == p.Tuple().Reverse() {
-			w.send(domain, c.domain, func() { c.take(inner) })
+			w.send(domain, c.domain, func() { c.take(p) })
+		}
+	}
+	for _, a := range w.askers {
+		if a.tuple == p.Tuple().Reverse() {
+			w.send(domain, a.domain, func() { a.take(p) })
 		}
 	}
 }
@@ -215,6 +230,9 @@
 		return
 	}
 	switch {
+	case p.Flags().Resets() && c.state == callerOpen && len(p.Payload()) == 0:
+		c.world.report.Reset++ // by an entry: nobody knew the flow any more
+		c.open()
 	case p.Flags().Resets() && c.state == callerOpen:
 		c.world.report.ResetByBackend++
 		c.world.fault("flow %v on endpoint %d was reset by a backend server", c.tuple.Src(), c.endpoint)
@@ -225,17 +243,3 @@
 		c.sendData(c.life)
 	}
 }
-
-// resetCaller tells a caller that its flow is not known any more.
-func (w *World) resetCaller(domain string, t packet.Tuple, reason string) {
-	for _, c := range w.callers {
-		if c.tuple == t && c.state == callerOpen {
-			w.send(domain, c.domain, func() {
-				if c.tuple == t && c.state == callerOpen {
-					w.report.Reasons["caller_reset_"+reason]++
-					c.open()
-				}
-			})
-		}
-	}
-}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -54,11 +54,14 @@
 		state    *control.State
 		log      []*wire.LogEntry
 		ctl      *controller.Controller
-		entries  map[string]*entry
+		entries  map[string]*instance
 		names    []string
 		backends map[uint32]*backend
 		byAddr   map[netip.AddrPort]*backend
 		callers  []*caller
+		askers   []*asker
+		requests map[uint64]*requestLog
+		token    uint64
 		cut      map[string]bool // domains cut off from the others
 		mended   map[string]time.Time
 		changes  int
@@ -82,6 +85,8 @@
 	Report struct {
 		Flows, Ended, Split, Reset, ResetByBackend, Crossed uint64
 		LateNew, Undecided, Relayed, Forwarded              uint64
+		Requests, Unanswered, RanTwice, FalseNotRun         uint64
+		Answers                                             map[string]uint64
 		Reasons                                             map[string]uint64
 		Faults                                              []string
 	}
@@ -111,10 +116,10 @@
 func New(c Config) *World {
 	w := &World{
 		rng: rand.New(rand.NewPCG(c.Seed, 17)), now: time.Unix(1_000_000, 0), config: c,
-		state: control.NewState(), entries: map[string]*entry{}, backends: map[uint32]*backend{},
-		byAddr: map[netip.AddrPort]*backend{}, cut: map[string]bool{}, mended: map[string]time.Time{}, leaving: map[string]time.Time{},
+		state: control.NewState(), entries: map[string]*instance{}, backends: map[uint32]*backend{},
+		byAddr: map[netip.AddrPort]*backend{}, cut: map[string]bool{}, mended: map[string]time.Time{}, requests: map[uint64]*requestLog{}, leaving: map[string]time.Time{},
 	}
-	w.report.Reasons = map[string]uint64{}
+	w.report.Reasons, w.report.Answers = map[string]uint64{}, map[string]uint64{}
 	w.ctl = controller.New(controllerConfig(), w.now, w.state, 0)
 	w.commit(&wire.Command{Body: &wire.Command_Change{Change: w.firstChange()}})
 	for i := range c.Entries {
@@ -171,6 +176,20 @@
 	if w.rng.IntN(1000) < twicePerMille {
 		times = 2
 	}
+	w.deliver(from, to, times, deliver)
+}
+
+// sendOnce is send without doubling. Dispatched requests go so: a doubled
+// datagram is told apart by its CoAP message id at the backend server (RFC
+// 7252, 4.5), while these backend servers count every run, so that a request
+// that the balancer dispatches twice is seen.
+func (w *World) sendOnce(from, to string, deliver func()) {
+	if w.rng.IntN(1000) >= lossPerMille {
+		w.deliver(from, to, 1, deliver)
+	}
+}
+
+func (w *World) deliver(from, to string, times int, deliver func()) {
 	for range times {
 		w.after(time.Millisecond+time.Duration(w.rng.IntN(4000))*time.Microsecond, func() {
 			if from == to || !w.cut[from] && !w.cut[to] {
@@ -215,8 +234,8 @@
 func (w *World) checkController() {
 	for _, name := range w.names {
 		e := w.entries[name]
-		if e.alive && w.now.Before(e.core.LeaseUntil()) && e.core.State().Index() < w.ctl.Active() {
-			w.fault("%s holds a lease at index %d, in use is %d", name, e.core.State().Index(), w.ctl.Active())
+		if e.alive && w.now.Before(e.member.LeaseUntil()) && e.member.State().Index() < w.ctl.Active() {
+			w.fault("%s holds a lease at index %d, in use is %d", name, e.member.State().Index(), w.ctl.Active())
 		}
 	}
 }
@@ -246,8 +265,8 @@
 }
 
 // side returns the entries that a packet at a domain can be handed to.
-func (w *World) side(domain string) []*entry {
-	var found []*entry
+func (w *World) side(domain string) []*instance {
+	var found []*instance
 	for _, name := range w.names {
 		e := w.entries[name]
 		if e.alive && (e.domain == domain || !w.cut[domain] && !w.cut[e.domain]) {
@@ -257,6 +276,9 @@
 	return found
 }
 
+// deskID returns the id of the service that takes work.
+func (w *World) deskID() uint32 { return 2 }
+
 func (w *World) hasher() route.Hasher { return route.NewHasher([16]byte{1, 2, 3}) }
 
 func (w *World) count(v flow.Verdict) {
--- /dev/null
+++ b/internal/work/handover.go
@@ -0,0 +1,247 @@
+package work
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+// handoverWindow is how many requests are under way to a new owner at a time.
+const handoverWindow = 64
+
+// outgoing is a handover to a new owner.
+type outgoing struct {
+	to   string
+	left []*request
+	open map[uint64]*wire.Handover
+	due  time.Time
+	last bool
+}
+
+// Peer takes a message from another entry.
+func (e *Engine) Peer(now time.Time, m *wire.Peer) {
+	switch body := m.Body.(type) {
+	case *wire.Peer_Hold:
+		e.takeHold(now, m.From, body.Hold)
+	case *wire.Peer_Held:
+		e.takeHeld(now, m.From, body.Held)
+	case *wire.Peer_Wanted:
+		e.wanted(now, m.From, body.Wanted)
+	case *wire.Peer_Handover:
+		e.takeHandover(now, m.From, body.Handover)
+	case *wire.Peer_HandedOver:
+		e.handedOver(now, m.From, body.HandedOver)
+	}
+}
+
+// wanted begins to hand over to a new owner. This entry must have seen the
+// change too: until then it may still dispatch.
+func (e *Engine) wanted(now time.Time, from string, w *wire.Wanted) {
+	if e.view.Table.Index() < w.Index {
+		return
+	}
+	owner, _ := e.view.rank(w.Service)
+	o := e.owned[w.Service]
+	if owner == e.config.Self || o != nil && o.phase == waiting {
+		return // the asker's view is old, or there is nothing to give yet
+	}
+	if o != nil && o.handover != nil && o.handover.to == from {
+		return
+	}
+	if o == nil || o.gaveAway {
+		e.cannotVouch(from, w.Service)
+		return
+	}
+	o.gaveAway = true
+	o.handover = &outgoing{to: from, open: map[uint64]*wire.Handover{}}
+	for _, id := range slices.SortedFunc(maps.Keys(o.requests), compareIDs) {
+		o.handover.left = append(o.handover.left, o.requests[id])
+	}
+	e.runHandover(now, o)
+}
+
+// cannotVouch answers an asker that takes this entry for the former owner,
+// which it was not, or not the last: old requests may be anywhere.
+func (e *Engine) cannotVouch(to string, service uint32) {
+	s := e.view.Table.Service(service)
+	if s == nil {
+		return
+	}
+	e.sequence++
+	e.peer(to, &wire.Peer{Body: &wire.Peer_Handover{Handover: &wire.Handover{
+		Service: service, Sequence: e.sequence, Last: true, BlankNanos: int64(s.Policy().RequestLife),
+	}}})
+}
+
+func compareIDs(a, b route.FlowID) int {
+	if a.High != b.High {
+		if a.High < b.High {
+			return -1
+		}
+		return 1
+	}
+	if a.Low < b.Low {
+		return -1
+	}
+	return 1
+}
+
+func (e *Engine) runHandover(now time.Time, o *ownership) {
+	h := o.handover
+	if !h.due.IsZero() && !now.Before(h.due) {
+		for _, sequence := range slices.Sorted(maps.Keys(h.open)) {
+			e.peer(h.to, &wire.Peer{Body: &wire.Peer_Handover{Handover: h.open[sequence]}})
+		}
+		h.due = now.Add(e.config.HoldRetry)
+	}
+	for len(h.left) > 0 && len(h.open) < handoverWindow {
+		e.sendHandover(now, h, e.describe(now, o, h.left[0]))
+		h.left = h.left[1:]
+	}
+	if len(h.left) == 0 && len(h.open) == 0 && !h.last {
+		h.last = true
+		e.sendHandover(now, h, &wire.Handover{Service: o.service, Last: true, BlankNanos: int64(max(o.blankUntil.Sub(now), 0))})
+	}
+}
+
+func (e *Engine) sendHandover(now time.Time, h *outgoing, m *wire.Handover) {
+	e.sequence++
+	m.Sequence = e.sequence
+	h.open[m.Sequence] = m
+	h.due = now.Add(e.config.HoldRetry)
+	e.peer(h.to, &wire.Peer{Body: &wire.Peer_Handover{Handover: m}})
+}
+
+func (e *Engine) describe(now time.Time, o *ownership, r *request) *wire.Handover {
+	m := &wire.Handover{
+		Service: o.service, State: uint32(r.state), DeadlineNanos: int64(r.deadline.Sub(now)),
+		Key: &wire.HeldKey{High: r.id.High, Low: r.id.Low, LifeNanos: int64(r.expires.Sub(now))},
+	}
+	if r.message.Code != 0 {
+		if inner, err := wrap(r.tuple, r.message); err == nil {
+			m.Packet = inner
+		}
+	}
+	if r.answer != nil {
+		if data, err := r.answer.Encode(); err == nil {
+			m.Answer = data
+		}
+	}
+	if a := r.openAttempt(); a != nil {
+		m.Endpoint, m.MessageId = a.endpoint, uint32(a.messageID)
+	}
+	return m
+}
+
+func (e *Engine) handedOver(now time.Time, from string, h *wire.HandedOver) {
+	o := e.owned[h.Service]
+	if o == nil || o.handover == nil || o.handover.to != from {
+		return
+	}
+	delete(o.handover.open, h.Sequence)
+	if o.handover.last && len(o.handover.open) == 0 {
+		o.handover = nil
+		if o.phase == former {
+			e.drop(o)
+		}
+		return
+	}
+	e.runHandover(now, o)
+}
+
+// Handing reports whether this entry still has to hand something over, or
+// owns work: a planned stop waits until it does not.
+func (e *Engine) Handing() bool {
+	return len(e.owned) > 0
+}
+
+// takeHandover takes over one request, or begins to serve after the last.
+func (e *Engine) takeHandover(now time.Time, from string, h *wire.Handover) {
+	e.peer(from, &wire.Peer{Body: &wire.Peer_HandedOver{HandedOver: &wire.HandedOver{Service: h.Service, Sequence: h.Sequence}}})
+	o := e.owned[h.Service]
+	s := e.view.Table.Service(h.Service)
+	if o == nil || s == nil || o.phase != waiting || o.before != from {
+		return
+	}
+	if !h.Last {
+		e.takeRequest(now, s, o, h)
+		return
+	}
+	o.phase, o.before = serving, ""
+	if blank := now.Add(time.Duration(h.BlankNanos)); h.BlankNanos > 0 && blank.After(o.blankUntil) {
+		o.blankUntil = blank
+	}
+	e.chooseSecond(o)
+	e.replayEarly(now, s, o)
+	e.dispatch(now, o)
+}
+
+// takeRequest takes one request into the state that its former owner left it
+// in. One that was queued waits again; one that was dispatched keeps its slot.
+func (e *Engine) takeRequest(now time.Time, s *route.Service, o *ownership, h *wire.Handover) {
+	id := route.FlowID{High: h.Key.High, Low: h.Key.Low}
+	if _, known := o.requests[id]; known {
+		return
+	}
+	r := &request{
+		id: id, state: State(h.State), received: now, held: true,
+		deadline: now.Add(time.Duration(h.DeadlineNanos)), expires: now.Add(time.Duration(h.Key.LifeNanos)),
+	}
+	var d packet.Decoder
+	var p packet.Packet
+	if d.DecodeInner(h.Packet, &p) == packet.Decoded {
+		r.tuple = p.Tuple()
+		if m, err := Decode(p.Payload()); err == nil {
+			r.message = m
+		}
+	}
+	_, r.class = e.view.Table.Lookup(route.ServiceKey{Addr: r.tuple.Dst(), Transport: packet.UDP})
+	if m, err := Decode(h.Answer); err == nil {
+		r.answer = &m
+	}
+	if !r.state.final() && r.class == nil {
+		r.state = Lost
+	}
+	o.add(r)
+	if !r.state.final() {
+		o.byMessage[messageKey{e.config.Hasher.Flow(r.tuple), r.message.MessageID}] = id
+	}
+	switch r.state {
+	case Received, Queued:
+		e.step(o, r, Queued, HandedOver, 0)
+		o.queue.push(r)
+	case Dispatched:
+		if endpoint := e.view.Table.Endpoint(h.Endpoint); endpoint != nil && endpoint.Service() == s.ID() {
+			o.grants.take(endpoint)
+		}
+		r.attempts = []attempt{{endpoint: h.Endpoint, messageID: int32(h.MessageId), at: now, until: r.deadline, open: true}}
+	}
+}
+
+// replayEarly takes the packets that came before the handover was whole.
+func (e *Engine) replayEarly(now time.Time, s *route.Service, o *ownership) {
+	early := o.early
+	o.early = nil
+	for _, kept := range early {
+		var d packet.Decoder
+		var p packet.Packet
+		if d.DecodeInner(kept.inner, &p) != packet.Decoded {
+			continue
+		}
+		m, err := Decode(p.Payload())
+		if err != nil {
+			continue
+		}
+		if kept.endpoint != 0 {
+			e.takeAnswer(now, o, kept.endpoint, p.Tuple().Reverse(), m)
+			continue
+		}
+		if _, class := e.view.Table.Lookup(route.ServiceKey{Addr: p.Tuple().Dst(), Transport: packet.UDP}); class != nil {
+			e.take(now, s, o, class, p.Tuple(), m)
+		}
+	}
+}
