Work: a paused entry forwards nothing old and denies nothing; lives told apart

Change: incarnations compared; refusals need a lease at the time they are said and carry when they stop being true; no relay of work without a lease; records outlive a request by two leases.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,7 @@
 		Relay    packet.Relay // of a relayed packet
 		Relayed  bool
 		Message  *wire.Peer // instead of a packet
+		Until    time.Time  // it must not be sent later than this; zero is no bound
 	}
 
 	// View is what the control goroutine tells the core.
@@ -189,12 +190,12 @@
 func workSend(o work.Out) Send {
 	switch o.Kind {
 	case work.ToBackend:
-		return Send{Target: ToBackend, Endpoint: o.Endpoint, Inner: o.Inner}
+		return Send{Target: ToBackend, Endpoint: o.Endpoint, Inner: o.Inner, Until: o.Until}
 	case work.ToPeer:
 		return Send{Target: ToPeer, Peer: o.Peer, Message: o.Message}
 	case work.RelayRequest, work.RelayAnswer:
 		return Send{Target: ToPeer, Peer: o.Peer, Inner: o.Inner, Relay: o.Relay, Relayed: true}
 	default:
-		return Send{Target: ToFabric, Inner: o.Inner}
+		return Send{Target: ToFabric, Inner: o.Inner, Until: o.Until}
 	}
 }
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -42,11 +42,17 @@
 			HalfOpenLife: time.Second, SweepEvery: 200 * time.Millisecond,
 		},
 		Work: work.Config{
-			Self: name, Domain: domain, Hasher: w.hasher(), Requests: 2000, HeldKeys: 20000,
-			HoldRetry: 40 * time.Millisecond, RetryFloor: 5,
+			Self: name, Domain: domain, Incarnation: incarnation, Hasher: w.hasher(), Requests: 2000, HeldKeys: 20000,
+			HoldRetry: 40 * time.Millisecond, RetryFloor: 5, Linger: 2 * lease,
+		},
+		OnFlow: func(_ time.Time, v flow.Verdict, p *packet.Packet, answer bool) {
+			w.count(v)
+			w.note("%s.%d flow %v bucket %d answer %v: %s %s %s flags %+v", name, incarnation, p.Tuple().Src(), v.Bucket(), answer, v.Action(), v.Reason(), endpointName(v), p.Flags())
+		},
+		OnWork: func(_ time.Time, v work.Event) {
+			w.report.Reasons["work_"+v.State.String()+"_"+v.Cause.String()]++
+			w.note("%s.%d token %x %s %s endpoint %d", name, incarnation, v.Token, v.State, v.Cause, v.Endpoint)
 		},
-		OnFlow: func(_ time.Time, v flow.Verdict, _ *packet.Packet, _ bool) { w.count(v) },
-		OnWork: func(_ time.Time, v work.Event) { w.report.Reasons["work_"+v.State.String()+"_"+v.Cause.String()]++ },
 	}, w.now)
 	w.entries[name] = e
 	e.loop(step, e.tick)
@@ -179,3 +185,10 @@
 		})
 	})
 }
+
+func endpointName(v flow.Verdict) string {
+	if v.Endpoint() == nil {
+		return "-"
+	}
+	return v.Endpoint().Name()
+}
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -28,7 +28,9 @@
 func (w *World) drawFault() {
 	name := w.names[w.rng.IntN(len(w.names))]
 	endpoint := w.rng.IntN(w.config.Endpoints)
-	switch w.rng.IntN(13) {
+	kind := w.rng.IntN(13)
+	w.note("fault %d instance %s endpoint %d", kind, name, endpoint)
+	switch kind {
 	case 0, 1:
 		w.Drain(endpoint)
 	case 2, 3:
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -68,6 +68,7 @@
 		report   Report
 		config   Config
 		leaving  map[string]time.Time // endpoints, by when their leaving was accepted
+		trace    func(line string)    // of every step, to look into a replayed failure
 	}
 
 	// Config sets the size of a world.
@@ -199,6 +200,13 @@
 	}
 }
 
+// note traces one line where a trace is wanted.
+func (w *World) note(format string, args ...any) {
+	if w.trace != nil {
+		w.trace(fmt.Sprintf("%v ", w.now.Sub(time.Unix(1_000_000, 0))) + fmt.Sprintf(format, args...))
+	}
+}
+
 func (w *World) fault(format string, args ...any) {
 	const most = 20
 	if len(w.report.Faults) < most {
@@ -218,6 +226,7 @@
 	if err != nil {
 		panic(err)
 	}
+	w.note("commit %d %v", index, c)
 	w.log = append(w.log, &wire.LogEntry{Index: index, Term: 1, Command: data})
 	return answer
 }
--- a/internal/work/engine.go
+++ b/internal/work/engine.go
@@ -24,6 +24,12 @@
 // Request takes a packet from a caller to a class of work.
 func (e *Engine) Request(now time.Time, service *route.Service, class *route.Class, p *packet.Packet) {
 	owner, island := e.ownerOf(service)
+	if !island && !now.Before(e.view.LeaseUntil) {
+		// It may have lain here through a pause: an old packet must not come
+		// to the owner after the request's life. The caller sends it again.
+		e.stats.NoLease++
+		return
+	}
 	if owner != e.config.Self {
 		e.relay(RelayRequest, owner, p, 0)
 		return
@@ -118,7 +124,7 @@
 	}
 	r := &request{
 		id: id, class: class, tuple: tuple, message: m.clone(), received: now,
-		deadline: now.Add(left), expires: now.Add(life),
+		deadline: now.Add(left), expires: now.Add(life + e.config.Linger),
 	}
 	if len(o.requests) >= e.config.Requests*refusalFactor {
 		e.stats.Overflow++
@@ -281,7 +287,11 @@
 	if len(r.attempts) == 1 {
 		o.retries.earn(e.view.Table.Service(o.service).Policy().RetryShare)
 	}
-	e.out = append(e.out, Out{Kind: ToBackend, Endpoint: endpoint, Inner: inner})
+	out := Out{Kind: ToBackend, Endpoint: endpoint, Inner: inner}
+	if !r.repeatable() {
+		out.Until = e.view.LeaseUntil
+	}
+	e.out = append(e.out, out)
 }
 
 // Answer takes a packet from a backend server.
--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -1,9 +1,11 @@
 package work
 
 import (
+	"slices"
 	"time"
 
 	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
 
 	"oxbowsaddle/internal/packet"
 	"oxbowsaddle/internal/wire"
@@ -19,6 +21,11 @@
 		e.finish(o, r, Unknown, cause, UnknownMessage(r.message.Token, r.message.MessageID))
 		return
 	}
+	if !e.mayDispatch(now, r) {
+		// Another owner may have run it since this one's lease ran out.
+		e.finish(o, r, Unknown, LeaseLost, UnknownMessage(r.message.Token, r.message.MessageID))
+		return
+	}
 	floor := e.view.Table.Service(o.service).Policy().LowestShare
 	again := max(o.wait(r.class.Priority, floor), time.Second)
 	e.finish(o, r, Refused, cause, NotRunMessage(r.message.Token, r.message.MessageID, again))
@@ -40,7 +47,11 @@
 		e.stats.Overflow++
 		return
 	}
-	e.out = append(e.out, Out{Kind: ToCaller, Inner: inner})
+	o := Out{Kind: ToCaller, Inner: inner}
+	if m.Code == codes.ServiceUnavailable && !e.view.Island {
+		o.Until = e.view.LeaseUntil
+	}
+	e.out = append(e.out, o)
 }
 
 // cancel ends a request by its caller's word: its slot is free at once, and
@@ -78,7 +89,7 @@
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) {
-	for _, o := range e.owned {
+	for _, o := range e.inOrder() {
 		e.tickOwned(now, o)
 	}
 	for id, k := range e.kept {
@@ -108,7 +119,7 @@
 
 // expireActive ends what has run out of time.
 func (e *Engine) expireActive(now time.Time, o *ownership) {
-	for _, r := range o.active {
+	for _, r := range slices.Clone(o.active) {
 		a := r.openAttempt()
 		switch {
 		case r.state != Dispatched && !now.Before(r.deadline):
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -78,16 +79,7 @@
 }
 
 func compareIDs(a, b route.FlowID) int {
-	if a.High != b.High {
-		if a.High < b.High {
-			return -1
-		}
-		return 1
-	}
-	if a.Low < b.Low {
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.High, b.High), cmp.Compare(a.Low, b.Low))
 }
 
 func (e *Engine) runHandover(now time.Time, o *ownership) {
--- a/internal/work/hold.go
+++ b/internal/work/hold.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,7 +44,7 @@
 		return
 	}
 	o.second, o.complete = next, false
-	clear(o.holds)
+	o.holds = nil
 	o.toHold = nil
 	for _, r := range o.requests {
 		if r.repeatable() {
@@ -56,7 +57,7 @@
 		o.unheld[r.id] = r
 		o.toHold = append(o.toHold, r)
 	}
-	slices.SortFunc(o.toHold, func(a, b *request) int { return a.received.Compare(b.received) })
+	slices.SortFunc(o.toHold, func(a, b *request) int { return cmp.Or(a.received.Compare(b.received), compareIDs(a.id, b.id)) })
 }
 
 func (e *Engine) secondOf(service uint32) string {
@@ -86,7 +87,7 @@
 
 // flushHolds sends the keys that wait, as many as fit in one message.
 func (e *Engine) flushHolds() {
-	for _, o := range e.owned {
+	for _, o := range e.inOrder() {
 		for len(o.toHold) > 0 && o.second != "" {
 			n := min(len(o.toHold), holdKeys)
 			e.sendHold(o, o.toHold[:n], false)
@@ -105,7 +106,7 @@
 	for _, r := range requests {
 		h.Keys = append(h.Keys, &wire.HeldKey{High: r.id.High, Low: r.id.Low, LifeNanos: int64(r.expires.Sub(r.received))})
 	}
-	o.holds[h.Sequence] = &sentHold{hold: h, requests: slices.Clone(requests)}
+	o.holds = append(o.holds, &sentHold{hold: h, requests: slices.Clone(requests)})
 	e.transmitHold(o, h)
 }
 
@@ -165,11 +166,12 @@
 	if o == nil || o.second != from {
 		return
 	}
-	sent := o.holds[h.Sequence]
-	if sent == nil {
+	i := slices.IndexFunc(o.holds, func(s *sentHold) bool { return s.hold.Sequence == h.Sequence })
+	if i < 0 {
 		return
 	}
-	delete(o.holds, h.Sequence)
+	sent := o.holds[i]
+	o.holds = slices.Delete(o.holds, i, i+1)
 	for _, r := range sent.requests {
 		delete(o.unheld, r.id)
 		switch {
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -1,6 +1,8 @@
 package work
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"oxbowsaddle/internal/route"
@@ -26,7 +28,7 @@
 		blankUntil time.Time // until then an old request cannot be told from a new one
 		requests   map[route.FlowID]*request
 		expiry     []*request // in the order they were received
-		active     map[route.FlowID]*request
+		active     []*request // without a final answer, in the order they came
 		byMessage  map[messageKey]route.FlowID
 		queue      queue
 		grants     grants
@@ -37,8 +39,8 @@
 		second     string
 		unheld     map[route.FlowID]*request
 		toHold     []*request
-		holds      map[uint64]*sentHold
-		complete   bool // the second holder was told that it has every key
+		holds      []*sentHold // in the order of sequences
+		complete   bool        // the second holder was told that it has every key
 		handover   *outgoing
 		gaveAway   bool // another entry has been given the requests
 		wantedAt   time.Time
@@ -144,26 +146,35 @@
 	view.Table = t
 	e.view = &view
 	self, listed := t.Member(e.config.Self)
-	if !listed {
+	if !listed || self.Incarnation() != e.config.Incarnation {
 		// The others have gone on without this entry: what it holds is old.
 		clear(e.owned)
 		clear(e.kept)
 		return
 	}
 	before, wasListed := previous.Member(e.config.Self)
-	wasListed = wasListed && before.JoinedAt() == self.JoinedAt()
+	wasListed = wasListed && before.JoinedAt() == self.JoinedAt() && before.Incarnation() == self.Incarnation()
 	t.Services(func(s *route.Service) {
 		if hasWork(s) {
 			e.updateService(now, s, previous, wasListed)
 		}
 	})
-	for id, o := range e.owned {
-		if t.Service(id) == nil {
+	for _, o := range e.inOrder() {
+		if t.Service(o.service) == nil {
 			e.drop(o)
 		}
 	}
 }
 
+// inOrder returns the ownerships by service, so that a run can be replayed.
+func (e *Engine) inOrder() []*ownership {
+	all := make([]*ownership, 0, len(e.owned))
+	for _, id := range slices.Sorted(maps.Keys(e.owned)) {
+		all = append(all, e.owned[id])
+	}
+	return all
+}
+
 func (e *Engine) drop(o *ownership) { delete(e.owned, o.service) }
 
 func hasWork(s *route.Service) bool {
@@ -251,9 +262,9 @@
 
 func (e *Engine) newOwnership(service uint32) *ownership {
 	o := &ownership{
-		service: service, requests: map[route.FlowID]*request{}, active: map[route.FlowID]*request{},
+		service: service, requests: map[route.FlowID]*request{},
 		byMessage: map[messageKey]route.FlowID{}, grants: newGrants(), transfers: map[transferKey]transfer{},
-		unheld: map[route.FlowID]*request{}, holds: map[uint64]*sentHold{}, retries: newRetryBudget(e.config.RetryFloor),
+		unheld: map[route.FlowID]*request{}, retries: newRetryBudget(e.config.RetryFloor),
 	}
 	e.owned[service] = o
 	return o
@@ -312,7 +323,7 @@
 	o.requests[r.id] = r
 	o.expiry = append(o.expiry, r)
 	if !r.state.final() {
-		o.active[r.id] = r
+		o.active = append(o.active, r)
 	}
 }
 
@@ -321,7 +332,7 @@
 	r.state = s
 	e.stats.States[s]++
 	if s.final() {
-		delete(o.active, r.id)
+		o.active = slices.DeleteFunc(o.active, func(a *request) bool { return a == r })
 	}
 	e.events = append(e.events, Event{ID: r.id, Service: o.service, Token: r.message.Token, Caller: r.tuple, State: s, Cause: c, Endpoint: endpoint})
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -54,6 +54,9 @@
 		Message  *wire.Peer      // ToPeer
 		Inner    []byte          // the packet
 		Relay    packet.Relay    // of a relay
+		// Until is when what is sent stops being true: a process that was
+		// paused between the decision and the send must not send it.
+		Until time.Time
 	}
 
 	// Event is one step of a request, with its cause, for explanations.
@@ -72,13 +75,17 @@
 
 	// Config is what an Engine is made from.
 	Config struct {
-		Self       string
-		Domain     string
-		Hasher     route.Hasher
-		Requests   int           // requests that one service holds
-		HeldKeys   int           // keys held for the owners of other services
-		HoldRetry  time.Duration // after which an unanswered message is sent again
-		RetryFloor float64       // retries a second that are always allowed
+		Self        string
+		Domain      string
+		Incarnation uint64 // of this life of the entry
+		Hasher      route.Hasher
+		Requests    int           // requests that one service holds
+		HeldKeys    int           // keys held for the owners of other services
+		HoldRetry   time.Duration // after which an unanswered message is sent again
+		RetryFloor  float64       // retries a second that are always allowed
+		// Linger is how long a packet may lie in an entry that was paused and
+		// still holds its lease. Records outlive a request by it.
+		Linger time.Duration
 	}
 
 	// View is what the control goroutine tells the engine; it is immutable.
@@ -96,6 +103,7 @@
 		States                                      [stateCount]uint64
 		Requests, Queue, Kept                       int
 		Duplicates, Late, Retries, Shed, Overflow   uint64
+		NoLease                                     uint64
 		Holds, HoldBytes, Broken, Takeovers, Blanks uint64
 	}
 )
@@ -121,6 +129,7 @@
 	BadMessage
 	AnswerGone
 	HandedOver
+	LeaseLost
 	causeCount
 )
 
@@ -129,7 +138,7 @@
 	causeNames = [causeCount]string{
 		"arrived", "key_held", "slot_granted", "backend_answered", "backend_refused", "deadline_passed",
 		"cannot_meet_deadline", "queue_full", "table_full", "displaced", "no_endpoint", "no_retry_left",
-		"caller_cancelled", "owner_lost", "both_holders_lost", "cut_off", "bad_message", "answer_gone", "handed_over",
+		"caller_cancelled", "owner_lost", "both_holders_lost", "cut_off", "bad_message", "answer_gone", "handed_over", "lease_lost",
 	}
 )
 
