Flows: a bucket is settled only after its flip is known everywhere

Ruled out: cache and record errors. Change: the flip carries its index; new flows are recorded until every entry knows of the flip, and only then may a settle follow.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -58,7 +58,7 @@
 	for _, b := range slices.Sorted(maps.Keys(s.Open())) {
 		t := s.Open()[b]
 		w.Open = append(w.Open, &wire.StoredTransition{
-			Bucket: b, Default: t.Default, Previous: t.Previous, Current: t.Current, MovedAt: t.MovedAt, Flipped: t.Flipped,
+			Bucket: b, Default: t.Default, Previous: t.Previous, Current: t.Current, MovedAt: t.MovedAt, FlippedAt: t.FlippedAt,
 		})
 	}
 	return w
@@ -104,7 +104,7 @@
 		b.PutService(svc.Id, svc.Name, s.document.Classes(svc.Name), s.document.Policy(svc.Name), len(svc.Buckets))
 		open := make(map[uint32]route.Transition, len(svc.Open))
 		for _, t := range svc.Open {
-			open[t.Bucket] = route.Transition{Default: t.Default, Previous: t.Previous, Current: t.Current, MovedAt: t.MovedAt, Flipped: t.Flipped}
+			open[t.Bucket] = route.Transition{Default: t.Default, Previous: t.Previous, Current: t.Current, MovedAt: t.MovedAt, FlippedAt: t.FlippedAt}
 		}
 		b.Restore(svc.Id, svc.Buckets, open, svc.CreatedAt)
 	}
--- a/internal/controller/transition.go
+++ b/internal/controller/transition.go
@@ -26,10 +26,12 @@
 	}
 }
 
-// transitions ends what can be ended. A bucket is settled when no flow is
-// elsewhere any more, or when the drain deadline of its former endpoint has
-// passed. It is flipped when its holders know every flow that is elsewhere:
-// after one idle limit each living flow has shown itself.
+// transitions ends what can be ended. A bucket is flipped when its holders
+// know every flow that is elsewhere: after one idle limit each living flow has
+// shown itself. It is settled when every entry knows of the flip and no flow
+// is elsewhere any more, or when the drain deadline of its former endpoint has
+// passed. Without the flip between, one entry would take the old endpoint for
+// the default while another already sends new flows to the new one unrecorded.
 func (k *Controller) transitions(now time.Time) []*wire.Command {
 	var commands []*wire.Command
 	seen := map[bucketKey]bool{}
@@ -88,7 +90,13 @@
 		f.quiet = now
 	}
 	if k.pastDeadline(now, s, t) {
-		return doForce
+		switch {
+		case !t.Flipped():
+			return doFlip
+		case t.FlipActive(k.active):
+			return doForce
+		}
+		return doNothing
 	}
 	flows, pending, counted := k.rows(now, key, t.MovedAt)
 	if !counted || flows > 0 {
@@ -100,10 +108,10 @@
 		return doNothing
 	}
 	switch {
-	case !f.zero.IsZero() && now.Sub(f.zero) >= k.config.SettleAfter:
-		return doSettle
-	case counted && pending == 0 && !t.Flipped:
+	case counted && pending == 0 && !t.Flipped():
 		return doFlip
+	case t.FlipActive(k.active) && !f.zero.IsZero() && now.Sub(f.zero) >= k.config.SettleAfter:
+		return doSettle
 	}
 	return doNothing
 }
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -144,7 +144,7 @@
 	switch {
 	case p.Flags().Opens():
 		_, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
-		return e.newFlow(now, v, p, t.ForNew(e.view.Active), t.Default, second)
+		return e.newFlow(now, v, p, t, second)
 	case e.view.Island || e.view.Table.Suspect():
 		v.action, v.reason = Drop, WithheldCut // an entry that was not asked may hold the flow
 		return v
@@ -153,7 +153,7 @@
 		return v
 	case v.isUDP(p):
 		_, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
-		return e.newFlow(now, v, p, t.ForNew(e.view.Active), t.Default, second)
+		return e.newFlow(now, v, p, t, second)
 	case !open:
 		return e.forward(now, v, p, t.Default, ByDefault)
 	default:
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -196,7 +196,7 @@
 	if !open {
 		t = settledTransition(v.service.Current(v.bucket))
 	}
-	if t.Flipped && p.Flags().Opens() && t.MovedAt <= e.view.Active && len(e.view.Table.Returned()) == 0 {
+	if t.FlipActive(e.view.Active) && p.Flags().Opens() && len(e.view.Table.Returned()) == 0 {
 		return e.forward(now, v, p, t.Current, ByNew)
 	}
 	owner, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
@@ -207,15 +207,15 @@
 }
 
 func settledTransition(endpoint uint32) route.Transition {
-	return route.Transition{Default: endpoint, Previous: endpoint, Current: endpoint, Flipped: true}
+	return route.Transition{Default: endpoint, Previous: endpoint, Current: endpoint, FlippedAt: 1}
 }
 
 // asOwner decides on a flow without a record, as the owner of its bucket.
 func (e *Engine) asOwner(now time.Time, v Verdict, p *packet.Packet, t route.Transition, second string) Verdict {
 	if p.Flags().Opens() && len(e.view.Table.Returned()) == 0 {
-		return e.newFlow(now, v, p, t.ForNew(e.view.Active), t.Default, second)
+		return e.newFlow(now, v, p, t, second)
 	}
-	if e.complete(v) && !(v.isUDP(p) && !t.Flipped) {
+	if e.complete(v) && !(v.isUDP(p) && !t.Flipped()) {
 		return e.forward(now, v, p, t.Default, ByDefault)
 	}
 	return e.ask(now, v, p)
@@ -224,13 +224,25 @@
 // isUDP reports whether the packet has no flag that tells a new flow.
 func (v Verdict) isUDP(p *packet.Packet) bool { return p.Tuple().Transport() == packet.UDP }
 
-// newFlow places a new flow of a bucket in transition. On the default
-// endpoint it needs no record; elsewhere both holders have one before its
-// first packet reaches the endpoint, since the packet goes by the second.
-func (e *Engine) newFlow(now time.Time, v Verdict, p *packet.Packet, endpoint, byDefault uint32, second string) Verdict {
-	if endpoint == byDefault {
+// newFlow places a new flow of a bucket in transition. On the endpoint that
+// every entry takes for the default it needs no record.
+func (e *Engine) newFlow(now time.Time, v Verdict, p *packet.Packet, t route.Transition, second string) Verdict {
+	everybodysDefault := !t.Flipped() || t.FlipActive(e.view.Active)
+	endpoint := t.ForNew(e.view.Active)
+	if endpoint == t.Default && everybodysDefault {
 		return e.forward(now, v, p, endpoint, ByNew)
 	}
+	return e.recordNew(now, v, p, endpoint, second)
+}
+
+// recordNew places a new flow where only records lead to: both holders have
+// one before its first packet reaches the endpoint, since the packet goes by
+// the second.
+func (e *Engine) recordNew(now time.Time, v Verdict, p *packet.Packet, endpoint uint32, second string) Verdict {
+	if e.view.Table.Endpoint(endpoint) == nil {
+		v.action, v.reason = Drop, NoEndpoint
+		return v
+	}
 	if !e.keep(v, endpoint) {
 		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
 	}
--- a/internal/flow/holder.go
+++ b/internal/flow/holder.go
@@ -89,7 +89,7 @@
 				continue
 			}
 			e.updateHolding(key, wasOpen, previous, next)
-			if t.Flipped && !old.Flipped {
+			if t.Flipped() && !old.Flipped() {
 				e.dropOnCurrent(key, t.Current)
 			}
 		}
--- a/internal/flow/lease.go
+++ b/internal/flow/lease.go
@@ -39,7 +39,7 @@
 		v.action, v.reason = Drop, NoEndpoint
 		return v
 	}
-	return e.newFlow(now, v, p, endpoint, 0, second)
+	return e.recordNew(now, v, p, endpoint, second)
 }
 
 func (e *Engine) islandMembers() []route.Member {
--- a/internal/route/builder.go
+++ b/internal/route/builder.go
@@ -123,7 +123,7 @@
 	if !open {
 		t.Default = old
 	}
-	t.Previous, t.Current, t.MovedAt, t.Flipped = old, endpoint, b.next.index, false
+	t.Previous, t.Current, t.MovedAt, t.FlippedAt = old, endpoint, b.next.index, 0
 	s.open[bucket] = t
 	return true
 }
@@ -136,7 +136,7 @@
 		return
 	}
 	if t, open := s.open[bucket]; open {
-		t.Default, t.Flipped = t.Current, true
+		t.Default, t.FlippedAt = t.Current, b.next.index
 		s.open[bucket] = t
 	}
 }
@@ -150,7 +150,7 @@
 	}
 	if _, open := s.open[bucket]; !open {
 		e := s.buckets[bucket]
-		s.open[bucket] = Transition{Default: e, Previous: e, Current: e, MovedAt: b.next.index, Flipped: true}
+		s.open[bucket] = Transition{Default: e, Previous: e, Current: e, MovedAt: b.next.index, FlippedAt: b.next.index}
 	}
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -58,12 +58,12 @@
 
 	// Transition is the state of a bucket whose endpoint has changed: flows
 	// that nobody has a record of are on Default, new flows go to Current
-	// once MovedAt is active, and to Previous until then. Flipped says that
+	// once MovedAt is active, and to Previous until then. From FlippedAt on
 	// the holders have a record of every flow that is not on Current.
 	Transition struct {
 		Default, Previous, Current uint32
 		MovedAt                    uint64
-		Flipped                    bool
+		FlippedAt                  uint64 // 0 before
 	}
 
 	// Service is a set of endpoints that do the same, with its placement and
@@ -219,6 +219,13 @@
 	return t.Previous
 }
 
+// Flipped reports whether the holders know every flow that is not on Current.
+func (t Transition) Flipped() bool { return t.FlippedAt > 0 }
+
+// FlipActive reports whether every entry knows that, so that a new flow on
+// Current needs neither the owner nor a record.
+func (t Transition) FlipActive(active uint64) bool { return t.Flipped() && t.FlippedAt <= active }
+
 // NewMember returns a live entry.
 func NewMember(name, domain string, incarnation uint64, leaving bool, joinedAt uint64) Member {
 	return Member{name, domain, incarnation, leaving, joinedAt, siphash.Hash(1, 2, []byte(name))}
--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -21,8 +21,9 @@
 		e.finish(o, r, Unknown, cause, UnknownMessage(r.message.Token, r.message.MessageID))
 		return
 	}
-	if !e.mayDispatch(now, r) {
-		// Another owner may have run it since this one's lease ran out.
+	if !now.Before(e.view.LeaseUntil) {
+		// Another owner may have run it since this one's lease ran out, or on
+		// the other side of a cut.
 		e.finish(o, r, Unknown, LeaseLost, UnknownMessage(r.message.Token, r.message.MessageID))
 		return
 	}
