Flows: old SYNs, other lives and half-open flows while domains are cut off

Change: no SYN is forwarded without a lease, reuse of a tuple needs a quiet time, views go through each change of the entries in order, and the first SYN-ACK that passes during a cut is told to the peers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,12 +38,6 @@
 		Until    time.Time  // it must not be sent later than this; zero is no bound
 	}
 
-	// View is what the control goroutine tells the core.
-	View struct {
-		Flow  *flow.View
-		Steps []*route.Table
-	}
-
 	// Config is what a Core is made from. The functions are told of each
 	// decision, for counters, explanations and traces; they may be nil.
 	Config struct {
@@ -56,7 +50,7 @@
 	// Core decides for one entry.
 	Core struct {
 		config Config
-		view   *View
+		view   *flow.View
 		flow   *flow.Engine
 		work   *work.Engine
 		sends  []Send
@@ -71,7 +65,7 @@
 	if c.OnWork == nil {
 		c.OnWork = func(time.Time, work.Event) {}
 	}
-	return &Core{config: c, view: &View{Flow: &flow.View{Table: route.Empty()}}, flow: flow.New(c.Flow, now), work: work.New(c.Work)}
+	return &Core{config: c, view: &flow.View{Table: route.Empty()}, flow: flow.New(c.Flow, now), work: work.New(c.Work)}
 }
 
 // Flow returns the engine for flows, to be read.
@@ -81,15 +75,15 @@
 func (c *Core) Work() *work.Engine { return c.work }
 
 // SetView takes a new view.
-func (c *Core) SetView(now time.Time, v *View) {
+func (c *Core) SetView(now time.Time, v *flow.View) {
 	if v == c.view {
 		return
 	}
 	c.view = v
-	c.flow.SetView(v.Flow)
+	c.flow.SetView(v)
 	c.work.SetView(now, &work.View{
-		Table: v.Flow.Table, Steps: v.Steps, LeaseUntil: v.Flow.LeaseUntil,
-		Island: v.Flow.Island, Reachable: v.Flow.Reachable, Domains: v.Flow.Domains,
+		Table: v.Table, Steps: v.Steps, LeaseUntil: v.LeaseUntil,
+		Island: v.Island, Reachable: v.Reachable, Domains: v.Domains,
 	})
 }
 
@@ -116,7 +110,7 @@
 // Take takes a packet from the fabric, a backend server or another entry.
 func (c *Core) Take(now time.Time, from netip.AddrPort, p *packet.Packet) {
 	tuple := p.Tuple()
-	table := c.view.Flow.Table
+	table := c.view.Table
 	if service, class := table.Lookup(route.ServiceKey{Addr: tuple.Dst(), Transport: tuple.Transport()}); service != nil {
 		c.inbound(now, service, class, p)
 		return
--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -6,6 +6,7 @@
 
 	"oxbowsaddle/internal/packet"
 	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
 )
 
 // Answer decides on a packet from a backend server at the given address. It
@@ -25,6 +26,44 @@
 	}
 	id := e.config.Hasher.Flow(tuple)
 	v := Verdict{service: service, endpoint: endpoint, id: id, bucket: service.Bucket(id)}
+	got := e.answerFor(now, v, p)
+	if got.action == Forward && p.Flags().Accepts() && (e.view.Island || e.view.Table.Suspect()) {
+		e.announceAccepted(got)
+	}
+	return got
+}
+
+// announceAccepted tells the peers which endpoint's SYN-ACK goes to the
+// caller. While domains are cut off, entries may have placed repeated SYNs of
+// one flow differently; the first SYN-ACK that is passed decides.
+func (e *Engine) announceAccepted(v Verdict) {
+	m := &wire.Peer{From: e.config.Self, Body: &wire.Peer_Accepted{Accepted: &wire.Accepted{
+		High: v.id.High, Low: v.id.Low, Endpoint: v.endpoint.ID(),
+	}}}
+	for _, peer := range e.view.Reachable {
+		e.out = append(e.out, Out{Peer: peer, Message: m})
+	}
+}
+
+// accepted takes a peer's word on a flow that is not known to be open elsewhere.
+func (e *Engine) accepted(now time.Time, a *wire.Accepted) {
+	id := route.FlowID{High: a.High, Low: a.Low}
+	endpoint := e.view.Table.Endpoint(a.Endpoint)
+	if endpoint == nil {
+		return
+	}
+	if s := e.flows.get(id); s == nil || s.state == stateOpening {
+		e.flows.put(id, a.Endpoint, stateOpening, now)
+	} else if s.endpoint != a.Endpoint {
+		return
+	}
+	if r, ok := e.records[id]; ok && r.key.service == endpoint.Service() {
+		e.records[id] = record{a.Endpoint, r.key, now}
+	}
+}
+
+func (e *Engine) answerFor(now time.Time, v Verdict, p *packet.Packet) Verdict {
+	id, endpoint := v.id, v.endpoint
 	if s := e.flows.get(id); s != nil {
 		return e.answerKnown(now, v, p, s)
 	}
@@ -49,7 +88,7 @@
 func (e *Engine) correct(now time.Time, v Verdict, p *packet.Packet) Verdict {
 	e.cache(now, v, p, v.endpoint.ID(), false)
 	if r, ok := e.records[v.id]; ok {
-		e.records[v.id] = record{v.endpoint.ID(), r.key}
+		e.records[v.id] = record{v.endpoint.ID(), r.key, now}
 	}
 	return e.answerIf(true, v, ByAnswer)
 }
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -89,8 +89,10 @@
 		e.told(now, m.From, body.Told)
 	case *wire.Peer_Forget:
 		e.forget(route.FlowID{High: body.Forget.High, Low: body.Forget.Low})
+	case *wire.Peer_Accepted:
+		e.accepted(now, body.Accepted)
 	case *wire.Peer_Push:
-		e.takePush(m.From, body.Push)
+		e.takePush(now, m.From, body.Push)
 	case *wire.Peer_Pushed:
 		e.pushed(m.From, body.Pushed.Sequence)
 	}
@@ -115,7 +117,7 @@
 	}
 	if endpoint := e.view.Table.Endpoint(told.Endpoint); endpoint != nil && endpoint.Service() == q.verdict.service.ID() {
 		delete(e.waiting, id)
-		e.keep(q.verdict, told.Endpoint)
+		e.keep(now, q.verdict, told.Endpoint)
 		e.release(q, func(p *packet.Packet) Verdict { return e.forward(now, q.verdict, p, told.Endpoint, ByPeer) })
 		return
 	}
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -106,7 +106,7 @@
 		}
 	}
 	if r, ok := e.records[id]; ok {
-		if !e.reused(p, r.endpoint) {
+		if !e.reused(now, p, r) {
 			return e.forward(now, v, p, r.endpoint, ByRecord)
 		}
 		e.announceReuse(v)
@@ -114,6 +114,12 @@
 	return e.unknown(now, v, p)
 }
 
+// quiet reports whether a flow has had no packet for longer than a SYN of it
+// can have lain in an entry that was paused and still holds its lease.
+func (e *Engine) quiet(now time.Time, s *slot) bool {
+	return time.Duration(e.flows.ticks(now)-s.seen)*tick > e.config.HalfOpenLife
+}
+
 // isNewFlow reports whether a SYN on a cached flow opens a new one on the same
 // tuple: the old one has closed, or its endpoint takes no new flow and the SYN
 // is no early repetition.
@@ -122,9 +128,9 @@
 	case stateClosing:
 		return true
 	case stateOpening:
-		return time.Duration(e.flows.ticks(now)-s.seen)*tick > e.config.HalfOpenLife
+		return e.quiet(now, s)
 	default:
-		return endpoint.Leaving()
+		return endpoint.Leaving() && e.quiet(now, s)
 	}
 }
 
@@ -149,11 +155,11 @@
 
 // reused reports whether a SYN opens a new flow on the tuple of an old record
 // whose endpoint takes no new flow.
-func (e *Engine) reused(p *packet.Packet, endpoint uint32) bool {
-	if !p.Flags().Opens() {
+func (e *Engine) reused(now time.Time, p *packet.Packet, r record) bool {
+	if !p.Flags().Opens() || now.Sub(r.at) <= e.config.HalfOpenLife {
 		return false
 	}
-	have := e.view.Table.Endpoint(endpoint)
+	have := e.view.Table.Endpoint(r.endpoint)
 	return have == nil || have.Leaving()
 }
 
@@ -243,7 +249,7 @@
 		v.action, v.reason = Drop, NoEndpoint
 		return v
 	}
-	if !e.keep(v, endpoint) {
+	if !e.keep(now, v, endpoint) {
 		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
 	}
 	if second == "" || !slices.Contains(e.view.Reachable, second) {
@@ -263,7 +269,7 @@
 		// This entry has seen the flow elsewhere already; that place is the truth.
 		return e.forward(now, v, p, s.endpoint, ByCache)
 	}
-	if !e.keep(v, relay.Endpoint()) {
+	if !e.keep(now, v, relay.Endpoint()) {
 		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
 	}
 	return e.forward(now, v, p, relay.Endpoint(), ByRecord)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -80,6 +80,7 @@
 	Config struct {
 		Self         string
 		Domain       string
+		Incarnation  uint64 // of this life of the entry
 		Hasher       route.Hasher
 		Flows        int           // flows cached at most
 		Records      int           // records held at most
@@ -95,12 +96,13 @@
 	// View is what the control goroutine tells the engine; it is immutable.
 	View struct {
 		Table      *route.Table
-		Active     uint64    // changes up to this index are in use
-		LeaseUntil time.Time // until when this entry may decide
-		Island     bool      // this domain is cut off and serves by itself
-		Reachable  []string  // peers heard of lately, in order
-		Leased     []string  // those of them that hold a lease
-		Domains    []string  // failure domains that can be reached
+		Steps      []*route.Table // the last tables at which the entries changed, in order
+		Active     uint64         // changes up to this index are in use
+		LeaseUntil time.Time      // until when this entry may decide
+		Island     bool           // this domain is cut off and serves by itself
+		Reachable  []string       // peers heard of lately, in order
+		Leased     []string       // those of them that hold a lease
+		Domains    []string       // failure domains that can be reached
 	}
 )
 
--- a/internal/flow/holder.go
+++ b/internal/flow/holder.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"oxbowsaddle/internal/route"
 )
@@ -12,6 +13,7 @@
 	record struct {
 		endpoint uint32
 		key      bucketKey
+		at       time.Time // when it was made or told here
 	}
 
 	// holding is what this entry knows as owner or second holder of a bucket.
@@ -22,11 +24,11 @@
 )
 
 // keep stores a record; false when there is no room.
-func (e *Engine) keep(v Verdict, endpoint uint32) bool {
-	return e.keepRecord(v.id, bucketKey{v.service.ID(), v.bucket}, endpoint)
+func (e *Engine) keep(now time.Time, v Verdict, endpoint uint32) bool {
+	return e.keepRecord(now, v.id, bucketKey{v.service.ID(), v.bucket}, endpoint)
 }
 
-func (e *Engine) keepRecord(id route.FlowID, key bucketKey, endpoint uint32) bool {
+func (e *Engine) keepRecord(now time.Time, id route.FlowID, key bucketKey, endpoint uint32) bool {
 	if have, ok := e.records[id]; ok && have.endpoint == endpoint {
 		return true
 	}
@@ -34,7 +36,7 @@
 		e.stats.RecordsDropped++
 		return false
 	}
-	e.records[id] = record{endpoint, key}
+	e.records[id] = record{endpoint, key, now}
 	h := e.holdingOf(key)
 	h.flows[id] = struct{}{}
 	return true
@@ -65,17 +67,32 @@
 	}
 	previous := e.view
 	e.view = next
-	if next.Table == previous.Table {
-		return
+	for _, t := range next.Steps {
+		if t.Index() > previous.Table.Index() && t.Index() < next.Table.Index() {
+			step := *next
+			step.Table = t
+			e.updateHoldings(previous, &step)
+			previous = &step
+		}
+	}
+	if next.Table != previous.Table {
+		e.updateHoldings(previous, next)
 	}
-	e.updateHoldings(previous, next)
+}
+
+// listed reports whether a table lists this life of the entry. While it does
+// not, others hold the buckets, and what is held here is not complete.
+func (e *Engine) listed(t *route.Table) bool {
+	m, ok := t.Member(e.config.Self)
+	return ok && m.Incarnation() == e.config.Incarnation
 }
 
 // updateHoldings walks the buckets in transition: what has settled is dropped,
 // what has just opened is known whole, and where a holder has changed the
 // first of the former holders that still lives hands its records over.
 func (e *Engine) updateHoldings(previous, next *View) {
-	for key := range e.byHeld {
+	for key, h := range e.byHeld {
+		h.complete = h.complete && e.listed(next.Table)
 		e.dropSettled(key, next)
 	}
 	sameMembers := slices.Equal(next.Table.Members(), previous.Table.Members())
@@ -122,11 +139,14 @@
 
 func (e *Engine) updateHolding(key bucketKey, wasOpen bool, previous, next *View) {
 	owner, second := holdersOf(next.Table, key)
+	if !e.listed(next.Table) {
+		return
+	}
 	if !wasOpen {
 		if owner.name == e.config.Self || second.name == e.config.Self {
 			// It was settled until now, so no flow of it can be elsewhere,
 			// if this entry has seen the opening itself.
-			e.holdingOf(key).complete = previous.Table.Index() > 0 && !previous.Table.Suspect()
+			e.holdingOf(key).complete = e.listed(previous.Table) && !previous.Table.Suspect()
 		}
 		return
 	}
--- a/internal/flow/lease.go
+++ b/internal/flow/lease.go
@@ -12,12 +12,14 @@
 
 // withoutLease decides on an unknown flow while this entry's lease has run
 // out. What it knows may be old, so it leaves the decision to an entry that
-// holds a lease; a domain that is cut off whole decides by itself.
+// holds a lease; a domain that is cut off whole decides by itself. A SYN is
+// dropped: it may have lain here through a pause while its flow was opened by
+// another entry, and a caller that still wants the flow sends it again.
 func (e *Engine) withoutLease(now time.Time, v Verdict, p *packet.Packet) Verdict {
 	if e.view.Island {
 		return e.onIsland(now, v, p)
 	}
-	if n := len(e.view.Leased); n > 0 {
+	if n := len(e.view.Leased); n > 0 && !p.Flags().Opens() {
 		return e.relayTo(v, p, e.view.Leased[v.id.Low%uint64(n)], ToLeased)
 	}
 	v.action, v.reason = Drop, NoLease
--- a/internal/flow/push.go
+++ b/internal/flow/push.go
@@ -178,7 +178,7 @@
 		case "":
 		case e.config.Self:
 			for _, f := range flows {
-				e.takeRecord(key, f.id, f.endpoint)
+				e.takeRecord(now, key, f.id, f.endpoint)
 			}
 		default:
 			e.sendPush(now, peer, key, flows, false, nil)
@@ -251,10 +251,10 @@
 }
 
 // takePush stores what a peer knows of a bucket.
-func (e *Engine) takePush(from string, push *wire.Push) {
+func (e *Engine) takePush(now time.Time, from string, push *wire.Push) {
 	key := bucketKey{push.Service, push.Bucket}
 	for _, r := range push.Records {
-		e.takeRecord(key, route.FlowID{High: r.High, Low: r.Low}, r.Endpoint)
+		e.takeRecord(now, key, route.FlowID{High: r.High, Low: r.Low}, r.Endpoint)
 	}
 	if push.Complete {
 		e.holdingOf(key).complete = true
@@ -266,7 +266,7 @@
 
 // takeRecord stores what a peer has seen, unless this entry knows better. A
 // record that finds no room makes the holding incomplete: the owner then asks.
-func (e *Engine) takeRecord(key bucketKey, id route.FlowID, endpoint uint32) {
+func (e *Engine) takeRecord(now time.Time, key bucketKey, id route.FlowID, endpoint uint32) {
 	have := e.view.Table.Endpoint(endpoint)
 	if have == nil || have.Service() != key.service {
 		return
@@ -274,7 +274,7 @@
 	if _, known := e.records[id]; known {
 		return
 	}
-	if !e.keepRecord(id, key, endpoint) {
+	if !e.keepRecord(now, id, key, endpoint) {
 		e.holdingOf(key).complete = false
 	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -214,7 +214,7 @@
 func (c *Core) View(now time.Time) *flow.View {
 	table := c.state.Table()
 	next := &flow.View{
-		Table: table, Active: c.active, LeaseUntil: c.leaseUntil,
+		Table: table, Steps: c.steps, Active: c.active, LeaseUntil: c.leaseUntil,
 		Island:    c.peers.Island(now, c.leaseUntil, table),
 		Reachable: c.peers.Reachable(now, table),
 		Leased:    c.peers.Leased(now, table),
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -21,7 +21,6 @@
 	pausedUntil  time.Time
 	member       *member.Core
 	entry        *entry.Core
-	view         entry.View
 }
 
 // start begins a life with empty memory.
@@ -37,9 +36,9 @@
 	})
 	e.entry = entry.New(entry.Config{
 		Flow: flow.Config{
-			Self: name, Domain: domain, Hasher: w.hasher(), Flows: 4096, Records: 4096, Waiting: 256, AsksASecond: 2000,
+			Self: name, Domain: domain, Incarnation: incarnation, Hasher: w.hasher(), Flows: 4096, Records: 4096, Waiting: 256, AsksASecond: 2000,
 			PushBytes: 20000, AskTimeout: 40 * time.Millisecond, PushRetry: 60 * time.Millisecond,
-			HalfOpenLife: time.Second, SweepEvery: 200 * time.Millisecond,
+			HalfOpenLife: 2 * time.Second, SweepEvery: 200 * time.Millisecond,
 		},
 		Work: work.Config{
 			Self: name, Domain: domain, Incarnation: incarnation, Hasher: w.hasher(), Requests: 2000, HeldKeys: 20000,
@@ -87,12 +86,7 @@
 
 // look brings the entry's view up to date.
 func (e *instance) look() {
-	v := e.member.View(e.world.now)
-	if v != e.view.Flow {
-		e.view = entry.View{Flow: v, Steps: e.member.Steps()}
-		next := e.view
-		e.entry.SetView(e.world.now, &next)
-	}
+	e.entry.SetView(e.world.now, e.member.View(e.world.now))
 }
 
 func (e *instance) tick() {
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -163,7 +163,7 @@
 		e.takeRequest(now, s, o, h)
 		return
 	}
-	o.phase, o.before = serving, ""
+	e.begin(o)
 	if blank := now.Add(time.Duration(h.BlankNanos)); h.BlankNanos > 0 && blank.After(o.blankUntil) {
 		o.blankUntil = blank
 	}
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -193,9 +193,8 @@
 	case owner == e.config.Self && (o == nil || o.phase == former):
 		before, known := e.formerOwner(s, previous, wasListed)
 		o = e.takeOver(now, s, o, before, known)
-	case owner != e.config.Self && o != nil && o.phase != former:
+	case owner != e.config.Self && o != nil && o.phase == serving:
 		o.phase = former
-		o.index = e.view.Table.Index()
 	}
 	if o == nil {
 		return
@@ -302,7 +301,7 @@
 // knows every key that it can have dispatched; any other entry cannot tell an
 // old request from a new one and must refuse until the longest life is over.
 func (e *Engine) afterLoss(now time.Time, s *route.Service, o *ownership, before string) {
-	o.phase, o.before = serving, ""
+	e.begin(o)
 	kept := e.kept[s.ID()]
 	if kept == nil || !kept.complete || kept.owner != before {
 		e.stats.Blanks++
@@ -319,6 +318,15 @@
 	delete(e.kept, s.ID())
 }
 
+// begin ends the wait for the former owner. An entry that is no longer the
+// owner itself by then has nothing to do but to hand on what it was given.
+func (e *Engine) begin(o *ownership) {
+	o.phase, o.before = serving, ""
+	if owner, _ := e.view.rank(o.service); owner != e.config.Self && !e.view.Island {
+		o.phase = former
+	}
+}
+
 func (o *ownership) add(r *request) {
 	o.requests[r.id] = r
 	o.expiry = append(o.expiry, r)
