Flows: a SYN alone proves nothing during a cut; no decision before peers are heard

Change: peers tell half-open from open flows, a half-open one counts only when no other is known; a new life decides only after it could hear its peers; a record that a silent second holder missed is told to it.

--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -27,7 +27,7 @@
 	id := e.config.Hasher.Flow(tuple)
 	v := Verdict{service: service, endpoint: endpoint, id: id, bucket: service.Bucket(id)}
 	got := e.answerFor(now, v, p)
-	if got.action == Forward && p.Flags().Accepts() && (e.view.Island || e.view.Table.Suspect()) {
+	if got.action == Forward && p.Flags().Accepts() && e.doubtful() {
 		e.announceAccepted(got)
 	}
 	return got
@@ -37,6 +37,9 @@
 // caller. While domains are cut off, entries may have placed repeated SYNs of
 // one flow differently; the first SYN-ACK that is passed decides.
 func (e *Engine) announceAccepted(v Verdict) {
+	if s := e.flows.get(v.id); s != nil && s.endpoint == v.endpoint.ID() && s.state == stateOpening {
+		e.flows.setState(s, stateOpen)
+	}
 	m := &wire.Peer{From: e.config.Self, Body: &wire.Peer_Accepted{Accepted: &wire.Accepted{
 		High: v.id.High, Low: v.id.Low, Endpoint: v.endpoint.ID(),
 	}}}
@@ -53,7 +56,7 @@
 		return
 	}
 	if s := e.flows.get(id); s == nil || s.state == stateOpening {
-		e.flows.put(id, a.Endpoint, stateOpening, now)
+		e.flows.put(id, a.Endpoint, stateOpen, now)
 	} else if s.endpoint != a.Endpoint {
 		return
 	}
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -23,6 +23,7 @@
 	packets  []*packet.Packet
 	open     []string // peers that have not answered
 	whole    bool     // every live entry has been asked
+	halfOpen []uint32 // endpoints that peers have sent a SYN to, and nothing else
 	deadline time.Time
 }
 
@@ -102,9 +103,10 @@
 	id := route.FlowID{High: ask.High, Low: ask.Low}
 	told := &wire.Told{High: ask.High, Low: ask.Low, Service: ask.Service}
 	if s := e.flows.get(id); s != nil {
-		told.Endpoint = s.endpoint
-	} else if r, ok := e.records[id]; ok {
-		told.Endpoint = r.endpoint
+		told.Endpoint, told.Opening = s.endpoint, s.state == stateOpening
+	}
+	if r, ok := e.records[id]; ok && (told.Endpoint == 0 || told.Opening) {
+		told.Endpoint, told.Opening = r.endpoint, false
 	}
 	e.out = append(e.out, Out{Peer: from, Message: &wire.Peer{From: e.config.Self, Body: &wire.Peer_Told{Told: told}}})
 }
@@ -115,20 +117,34 @@
 	if q == nil {
 		return
 	}
-	if endpoint := e.view.Table.Endpoint(told.Endpoint); endpoint != nil && endpoint.Service() == q.verdict.service.ID() {
-		delete(e.waiting, id)
-		e.keep(now, q.verdict, told.Endpoint)
-		e.release(q, func(p *packet.Packet) Verdict { return e.forward(now, q.verdict, p, told.Endpoint, ByPeer) })
+	endpoint := e.view.Table.Endpoint(told.Endpoint)
+	known := endpoint != nil && endpoint.Service() == q.verdict.service.ID()
+	if known && !told.Opening {
+		e.resolve(now, q, told.Endpoint)
 		return
 	}
+	if known && !slices.Contains(q.halfOpen, told.Endpoint) {
+		q.halfOpen = append(q.halfOpen, told.Endpoint)
+	}
 	q.open = slices.DeleteFunc(q.open, func(name string) bool { return name == from })
 	if len(q.open) > 0 {
 		return
 	}
+	if len(q.halfOpen) == 1 {
+		e.resolve(now, q, q.halfOpen[0])
+		return
+	}
 	delete(e.waiting, id)
 	e.release(q, func(p *packet.Packet) Verdict { return e.nobodyKnows(now, q.verdict, p, q.whole) })
 }
 
+// resolve releases the packets of a flow whose endpoint is known now.
+func (e *Engine) resolve(now time.Time, q *question, endpoint uint32) {
+	delete(e.waiting, q.verdict.id)
+	e.keep(now, q.verdict, endpoint)
+	e.release(q, func(p *packet.Packet) Verdict { return e.forward(now, q.verdict, p, endpoint, ByPeer) })
+}
+
 // release decides on the packets that had waited.
 func (e *Engine) release(q *question, decide func(*packet.Packet) Verdict) {
 	for _, p := range q.packets {
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -114,6 +114,10 @@
 	return e.unknown(now, v, p)
 }
 
+// doubtful reports whether a domain is cut off, or was and is not settled: a
+// SYN that was forwarded then proves nothing.
+func (e *Engine) doubtful() bool { return e.view.Island || e.view.Table.Suspect() }
+
 // quiet reports whether a flow has had no packet for longer than a SYN of it
 // can have lain in an entry that was paused and still holds its lease.
 func (e *Engine) quiet(now time.Time, s *slot) bool {
@@ -144,6 +148,9 @@
 	if s.state == stateOpening && p.Flags().Opens() {
 		return e.send(v, endpoint, ByCache), true // a repeated SYN does not make the flow younger
 	}
+	if s.state == stateOpening && e.doubtful() {
+		return v, false // the SYN may have been placed elsewhere too, on another side of a cut
+	}
 	s.seen = e.flows.ticks(now)
 	if p.Flags().Ends() {
 		e.flows.setState(s, stateClosing)
@@ -253,6 +260,8 @@
 		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
 	}
 	if second == "" || !slices.Contains(e.view.Reachable, second) {
+		// It is silent and will be dropped soon; if it is not, it is told.
+		e.tell(bucketKey{v.service.ID(), v.bucket}, v.id, endpoint)
 		return e.forward(now, v, p, endpoint, ByNew)
 	}
 	e.cache(now, v, p, endpoint, true)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -44,6 +44,7 @@
 		download   download
 		steps      []*route.Table
 		stopped    bool
+		began      time.Time // of the first view
 		view       *flow.View
 	}
 
@@ -213,8 +214,15 @@
 // before where nothing has changed.
 func (c *Core) View(now time.Time) *flow.View {
 	table := c.state.Table()
+	if c.began.IsZero() {
+		c.began = now
+	}
+	lease := c.leaseUntil
+	if now.Sub(c.began) < c.config.Peers.HeardFor {
+		lease = time.Time{} // it has not heard its peers yet: it would share records with nobody
+	}
 	next := &flow.View{
-		Table: table, Steps: c.steps, Active: c.active, LeaseUntil: c.leaseUntil,
+		Table: table, Steps: c.steps, Active: c.active, LeaseUntil: lease,
 		Island:    c.peers.Island(now, c.leaseUntil, table),
 		Reachable: c.peers.Reachable(now, table),
 		Leased:    c.peers.Leased(now, table),
