--- /dev/null
+++ b/internal/cmd/cmd_stats.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// cmdStats prints the counters of an instance.
+func cmdStats() *cobra.Command {
+	var t target
+	var all bool
+	c := &cobra.Command{
+		Use: "stats [PREFIX]", Short: "print the counters of an instance", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				r, err := client.Stats(ctx, &wire.StatsRequest{})
+				if err != nil {
+					return fault.Wrap(fault.Unreachable, err)
+				}
+				values := map[string]int64{}
+				for _, counter := range r.Counters {
+					if len(args) > 0 && !strings.HasPrefix(counter.Name, args[0]) || !all && counter.Value == 0 {
+						continue
+					}
+					values[counter.Name] = counter.Value
+					if t.output == "text" {
+						fmt.Fprintf(c.OutOrStdout(), "%-28s %d\n", counter.Name, counter.Value)
+					}
+				}
+				if t.output == "json" {
+					return printJSON(c.OutOrStdout(), values)
+				}
+				return nil
+			})
+		},
+	}
+	t.flags(c)
+	c.Flags().BoolVar(&all, "all", false, "counters that are 0 too")
+	return c
+}
--- /dev/null
+++ b/internal/cmd/cmd_status.go
@@ -0,0 +1,88 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// cmdStatus shows what an instance holds and who lags.
+func cmdStatus() *cobra.Command {
+	var t target
+	var wait time.Duration
+	c := &cobra.Command{
+		Use: "status", Short: "show roles, revision, leases, what drains wait for, and who lags", Args: exactArgs(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				s, err := waitInForce(ctx, client, wait)
+				if err != nil {
+					return err
+				}
+				if t.output == "json" {
+					return printJSON(c.OutOrStdout(), s)
+				}
+				printStatus(c.OutOrStdout(), s)
+				return nil
+			})
+		},
+	}
+	t.flags(c)
+	c.Flags().DurationVar(&wait, "wait", 0, "wait so long for the last revision to be in force on every instance")
+	return c
+}
+
+// waitInForce asks until every live entry has applied the last revision and
+// every lease without it has run out.
+func waitInForce(ctx context.Context, client wire.DRPCControlClient, wait time.Duration) (*wire.StatusReply, error) {
+	const pause = 100 * time.Millisecond
+	end := time.Now().Add(wait)
+	for {
+		s, err := client.Status(ctx, &wire.StatusRequest{})
+		if err != nil {
+			return nil, fault.Wrap(fault.Unreachable, err)
+		}
+		if wait == 0 || s.Active >= s.Revision && s.Revision > 0 {
+			return s, nil
+		}
+		if time.Now().After(end) {
+			return nil, fault.New(fault.NotCurrent, "revision %d is not in force everywhere: %s", s.Revision, laggards(s))
+		}
+		time.Sleep(pause)
+	}
+}
+
+func laggards(s *wire.StatusReply) string {
+	text := ""
+	for _, m := range s.Members {
+		if m.Applied < s.Revision {
+			text += fmt.Sprintf("%s at %d, silent for %s; ", m.Name, m.Applied, time.Duration(m.SilentNanos).Round(time.Millisecond))
+		}
+	}
+	if text == "" {
+		return "this instance has not heard that it is"
+	}
+	return text
+}
+
+func printStatus(w io.Writer, s *wire.StatusReply) {
+	fmt.Fprintf(w, "%s in %s, %s, leader %s, term %d\n", s.Name, s.Domain, s.Role, s.LeaderName, s.Term)
+	fmt.Fprintf(w, "revision %d, applied %d, in use %d, lease left %s, confirmed %s ago\n", s.Revision, s.Applied, s.Active,
+		time.Duration(s.LeaseLeftNanos).Round(time.Millisecond), time.Duration(s.ConfirmedAgoNanos).Round(time.Millisecond))
+	for _, m := range s.Members {
+		fmt.Fprintf(w, "  entry %-16s %-12s applied %d, silent %s, leased %v, leaving %v\n", m.Name, m.Domain, m.Applied,
+			time.Duration(m.SilentNanos).Round(time.Millisecond), m.Leased, m.Leaving)
+	}
+	for _, d := range s.Drains {
+		fmt.Fprintf(w, "  leaving %s/%s for %s: %d flows in %d buckets are waited for\n", d.Service, d.Endpoint,
+			time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
+	}
+	for _, o := range s.Objects {
+		fmt.Fprintf(w, "  %s %s, revision %d by %s, change %s\n", o.Object.Kind, o.Object.Name, o.Revision, o.Author, o.ChangeId)
+	}
+}
--- /dev/null
+++ b/internal/cmd/cmd_team.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/wire"
+)
+
+// cmdTeam plans changes of teams.
+func cmdTeam() *cobra.Command {
+	var a change
+	plan := &cobra.Command{
+		Use: "plan FILE", Short: "tell what accepting a file would change, for which services, and its answer", Args: exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			objects, err := readObjects(args[0])
+			if err != nil {
+				return err
+			}
+			return a.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				s, err := client.Status(ctx, &wire.StatusRequest{})
+				if err != nil {
+					return fault.Wrap(fault.Unreachable, err)
+				}
+				printPlan(c, s, objects)
+				reply, err := client.Submit(ctx, &wire.Change{Id: "plan", Base: s.Revision, Objects: objects, Plan: true, Confirmed: a.confirm})
+				if err != nil {
+					return fault.Wrap(fault.NoQuorum, err)
+				}
+				a.id = "(plan only)"
+				return a.print(c.OutOrStdout(), reply)
+			})
+		},
+	}
+	a.flags(plan)
+	c := &cobra.Command{Use: "team", Short: "work on teams"}
+	c.AddCommand(plan)
+	return c
+}
+
+func printPlan(c *cobra.Command, s *wire.StatusReply, objects []*wire.Object) {
+	held := map[string][]byte{}
+	for _, o := range s.Objects {
+		held[o.Object.Kind+" "+o.Object.Name] = o.Object.Body
+	}
+	for _, o := range objects {
+		body, known := held[o.Kind+" "+o.Name]
+		if !known {
+			fmt.Fprintf(c.OutOrStdout(), "%s %s: new\n", o.Kind, o.Name)
+			continue
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s %s: %s\n", o.Kind, o.Name, intent.Difference(body, o.Body))
+	}
+}
--- /dev/null
+++ b/internal/cmd/cmd_why.go
@@ -0,0 +1,169 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// cmdWhy explains decisions.
+func cmdWhy() *cobra.Command {
+	c := &cobra.Command{Use: "why", Short: "explain a flow, a request, or what operators ask most"}
+	c.AddCommand(
+		cmdWhyFlow(),
+		cmdWhyMatter("request TOKEN", "explain a request by its token in hexadecimal digits", 1, "request"),
+		cmdWhyMatter("refused", "explain the last refusals and losses", 0, "refused"),
+		cmdWhyStatus("lag", "tell which instances lag, and since when", printLag),
+		cmdWhyDrain(),
+	)
+	return c
+}
+
+func cmdWhyFlow() *cobra.Command {
+	var t target
+	var protocol string
+	c := &cobra.Command{
+		Use: "flow SRC DST", Short: "explain why a flow went where it did; both as IP:PORT", Args: exactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.explain(c, &wire.WhyRequest{Matter: "flow", Source: args[0], Target: args[1], Protocol: protocol})
+		},
+	}
+	t.flags(c)
+	c.Flags().StringVar(&protocol, "protocol", "tcp", "tcp or udp")
+	return c
+}
+
+func cmdWhyMatter(use, short string, n int, matter string) *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use: use, Short: short, Args: exactArgs(n),
+		RunE: func(c *cobra.Command, args []string) error {
+			r := &wire.WhyRequest{Matter: matter}
+			if n > 0 {
+				r.Target = args[0]
+			}
+			return t.explain(c, r)
+		},
+	}
+	t.flags(c)
+	return c
+}
+
+func (t *target) explain(c *cobra.Command, r *wire.WhyRequest) error {
+	return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+		reply, err := client.Why(ctx, r)
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err)
+		}
+		if t.output == "json" {
+			return printJSON(c.OutOrStdout(), reply)
+		}
+		for _, d := range reply.Decisions {
+			printDecision(c.OutOrStdout(), d)
+		}
+		for _, line := range reply.Lines {
+			fmt.Fprintln(c.OutOrStdout(), line)
+		}
+		if len(reply.Decisions) == 0 {
+			return fault.New(fault.NotFound, "no instance has kept a decision on this, and it cannot be worked out again")
+		}
+		return nil
+	})
+}
+
+func printDecision(w io.Writer, d *wire.Decision) {
+	kept := ""
+	if d.Recomputed {
+		kept = " (worked out now)"
+	}
+	fmt.Fprintf(w, "%s %s: %s: %s%s, because %s, by index %d, in use %d\n", time.Unix(0, d.UnixNano).UTC().Format(time.RFC3339Nano),
+		d.Entry, d.Subject, d.Action, kept, d.Reason, d.Index, d.Active)
+	if d.Endpoint != "" {
+		fmt.Fprintln(w, "  endpoint:", d.Endpoint)
+	}
+	if d.Parameter != "" {
+		fmt.Fprintln(w, "  parameter:", d.Parameter)
+	}
+	for _, hop := range d.Hops {
+		fmt.Fprintln(w, "  hop:", hop)
+	}
+	for _, candidate := range d.Candidates {
+		fmt.Fprintf(w, "  candidate %s: %s\n", candidate.Endpoint, candidate.Verdict)
+	}
+	fmt.Fprintln(w, "  next:", d.NextStep)
+}
+
+func cmdWhyStatus(use, short string, show func(io.Writer, *wire.StatusReply) error) *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use: use, Short: short, Args: exactArgs(0),
+		RunE: func(c *cobra.Command, _ []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				s, err := client.Status(ctx, &wire.StatusRequest{})
+				if err != nil {
+					return fault.Wrap(fault.Unreachable, err)
+				}
+				return show(c.OutOrStdout(), s)
+			})
+		},
+	}
+	t.flags(c)
+	return c
+}
+
+// printLag names who lags and what each of them keeps from being in use.
+func printLag(w io.Writer, s *wire.StatusReply) error {
+	lagging := 0
+	for _, m := range s.Members {
+		silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
+		switch {
+		case !m.Leased:
+			fmt.Fprintf(w, "%s in %s holds no lease, silent for %s; it decides nothing new. Look at its network and its log.\n", m.Name, m.Domain, silent)
+		case m.Applied < s.Commit:
+			fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, s.Commit, silent)
+		default:
+			continue
+		}
+		lagging++
+	}
+	if lagging == 0 {
+		fmt.Fprintf(w, "nobody lags: all %d entries have applied %d, in use is %d\n", len(s.Members), s.Commit, s.Active)
+	}
+	return nil
+}
+
+func cmdWhyDrain() *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use: "drain ENDPOINT", Short: "tell what a leaving endpoint still waits for", Args: exactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				s, err := client.Status(ctx, &wire.StatusRequest{})
+				if err != nil {
+					return fault.Wrap(fault.Unreachable, err)
+				}
+				for _, d := range s.Drains {
+					if d.Endpoint != args[0] {
+						continue
+					}
+					if d.Buckets == 0 {
+						fmt.Fprintf(c.OutOrStdout(), "%s waits for nothing: it can be taken away\n", d.Endpoint)
+						return nil
+					}
+					fmt.Fprintf(c.OutOrStdout(), "%s has been leaving for %s and gets no new work; up to %d flows in %d buckets still use it or are not counted yet\n"+
+						"next: wait, or lower drain_deadline of the team to cut them\n", d.Endpoint, time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
+					return nil
+				}
+				return fault.New(fault.NotFound, "no endpoint %q is leaving", args[0])
+			})
+		},
+	}
+	t.flags(c)
+	return c
+}
--- a/internal/control/compile.go
+++ b/internal/control/compile.go
@@ -49,7 +49,7 @@
 }
 
 func sameEndpoint(have *route.Endpoint, want intent.Endpoint) bool {
-	return have.Name() == want.Name && have.Domain() == want.Domain && have.Slots() == want.Slots &&
+	return have.Name() == want.Name && have.Health() == want.Health && have.Domain() == want.Domain && have.Slots() == want.Slots &&
 		have.Connections() == want.Connections && have.Leaving() == want.Leaving
 }
 
@@ -95,7 +95,7 @@
 		s.nextID++
 	}
 	b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{
-		ID: id, Service: service, Name: e.Name, Addr: e.Address, Domain: e.Domain,
+		ID: id, Service: service, Name: e.Name, Addr: e.Address, Health: e.Health, Domain: e.Domain,
 		Slots: e.Slots, Connections: e.Connections, Leaving: e.Leaving,
 	}))
 	if !e.Leaving {
@@ -134,7 +134,7 @@
 	l.removed = true
 	s.leavers[e.ID()] = l
 	b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{
-		ID: e.ID(), Service: e.Service(), Name: e.Name(), Addr: e.Addr(), Domain: e.Domain(),
+		ID: e.ID(), Service: e.Service(), Name: e.Name(), Addr: e.Addr(), Health: e.Health(), Domain: e.Domain(),
 		Slots: e.Slots(), Connections: e.Connections(), Leaving: true,
 	}))
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -69,6 +69,9 @@
 		Id: e.ID(), Service: e.Service(), Name: e.Name(), Address: e.Addr().String(), Domain: e.Domain(),
 		Slots: uint32(e.Slots()), Connections: uint32(e.Connections()), Leaving: e.Leaving(),
 	}
+	if e.Health().IsValid() {
+		w.Health = e.Health().String()
+	}
 	if l, ok := s.leavers[e.ID()]; ok {
 		w.LeavingSince, w.Removed = l.since.UnixNano(), l.removed
 	}
@@ -132,8 +135,14 @@
 	if err != nil {
 		return fault.Wrap(fault.DamagedLog, fmt.Errorf("snapshot endpoint %s: %w", e.Name, err))
 	}
+	var health netip.AddrPort
+	if e.Health != "" {
+		if health, err = netip.ParseAddrPort(e.Health); err != nil {
+			return fault.Wrap(fault.DamagedLog, fmt.Errorf("snapshot endpoint %s: %w", e.Name, err))
+		}
+	}
 	b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{
-		ID: e.Id, Service: e.Service, Name: e.Name, Addr: addr, Domain: e.Domain,
+		ID: e.Id, Service: e.Service, Name: e.Name, Addr: addr, Health: health, Domain: e.Domain,
 		Slots: int(e.Slots), Connections: int(e.Connections), Leaving: e.Leaving,
 	}))
 	if e.LeavingSince != 0 {
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,348 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	warmUp      = 3 * time.Second
+	coolDown    = 1500 * time.Millisecond
+	fabricLag   = 300 * time.Millisecond // until the fabric sees that an entry is gone
+	stopLimit   = 8 * time.Second
+	feedEvery   = 400 * time.Millisecond
+	feedPerUnit = 60 // long flows for each endpoint of the first service
+)
+
+// Report is the result of a run: counted by callers and backend servers.
+type Report struct {
+	User             string             `json:"user"`
+	Placement        string             `json:"placement"`
+	Seconds          float64            `json:"seconds"`
+	Flows            int                `json:"flows"`
+	BrokenPlanned    int                `json:"broken_planned"`
+	BrokenUnplanned  int                `json:"broken_unplanned"`
+	Misdelivered     int                `json:"misdelivered"`
+	Crossed          int                `json:"crossed"`
+	NotOpened        int                `json:"not_opened"`
+	Requests         int                `json:"requests"`
+	Answered         int                `json:"answered"`
+	NotRun           int                `json:"not_run"`
+	Unknown          int                `json:"unknown"`
+	NoAnswer         int                `json:"no_answer"`
+	RanTwice         int                `json:"ran_twice"`
+	FalseNotRun      int                `json:"false_not_run"`
+	LateNew          int                `json:"late_new"`
+	Incomplete       int                `json:"incomplete"`
+	Imbalance        map[string]float64 `json:"imbalance"`
+	PacketsPerSecond float64            `json:"packets_per_second"`
+	RelayedShare     float64            `json:"relayed_share"`
+	Reasons          map[string]int     `json:"reasons,omitempty"`
+	Events           []string           `json:"events"`
+}
+
+// KnownEvents lists what can happen in a run, in the order it does.
+func KnownEvents() []string { return []string{"drain", "join", "kill", "restart", "cut"} }
+
+// Broken returns the promises of the brief that the run broke.
+func (r Report) Broken() []string {
+	var broken []string
+	for _, p := range []struct {
+		name  string
+		count int
+	}{
+		{"broken_planned", r.BrokenPlanned}, {"misdelivered", r.Misdelivered}, {"crossed", r.Crossed},
+		{"ran_twice", r.RanTwice}, {"false_not_run", r.FalseNotRun}, {"late_new", r.LateNew}, {"incomplete", r.Incomplete},
+	} {
+		if p.count > 0 {
+			broken = append(broken, fmt.Sprintf("%s %d", p.name, p.count))
+		}
+	}
+	return broken
+}
+
+// Run runs the demo and returns what was counted.
+func Run(ctx context.Context, c Config) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := newFleet(ctx, c)
+	if f != nil {
+		defer func() { _ = f.close() }()
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	time.Sleep(warmUp / 2)
+	r := &run{fleet: f, rng: rand.New(rand.NewPCG(c.Seed, 9)), began: c.Now(), imbalance: map[string][]float64{}}
+	report, err := r.run(ctx)
+	cancel()
+	f.group.Wait()
+	return report, errors.Join(err, errors.Join(f.runErrors...))
+}
+
+// run is one run with its traffic and events.
+type run struct {
+	fleet     *fleet
+	rng       *rand.Rand
+	began     time.Time
+	events    []string
+	imbalance map[string][]float64
+	leaving   string
+}
+
+func (r *run) run(ctx context.Context) (Report, error) {
+	traffic, stopTraffic := context.WithCancel(ctx)
+	defer stopTraffic()
+	var callers sync.WaitGroup
+	end := r.began.Add(r.fleet.config.For)
+	r.startTraffic(traffic, &callers, end.Add(-coolDown))
+	if err := r.watch(ctx, end); err != nil {
+		return Report{}, err
+	}
+	done := make(chan struct{})
+	go func() { callers.Wait(); close(done) }()
+	const patience = 12 * time.Second
+	select {
+	case <-done:
+	case <-time.After(patience):
+		stopTraffic()
+		<-done
+	}
+	return r.report(), nil
+}
+
+// watch shows progress, measures imbalance, and lets the events happen.
+func (r *run) watch(ctx context.Context, end time.Time) error {
+	events := r.plan()
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for now := r.fleet.config.Now(); now.Before(end); now = r.fleet.config.Now() {
+		for len(events) > 0 && !now.Before(events[0].at) {
+			if err := events[0].happen(ctx); err != nil {
+				return fmt.Errorf("event %s: %w", events[0].name, err)
+			}
+			r.events = append(r.events, fmt.Sprintf("%.1fs %s", now.Sub(r.began).Seconds(), events[0].name))
+			events = events[1:]
+		}
+		r.measure()
+		r.progress(now)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (r *run) progress(now time.Time) {
+	c := r.fleet.ledger.Counts()
+	last := "steady"
+	if len(r.events) > 0 {
+		last = r.events[len(r.events)-1]
+	}
+	fmt.Fprintf(r.fleet.config.Progress, "%5.1fs  flows open %d of %d  broken %d+%d  requests %d answered %d not run %d unknown %d  last event: %s\n",
+		now.Sub(r.began).Seconds(), c.FlowsOpen, c.Flows, c.BrokenPlanned, c.BrokenUnplanned, c.Requests, c.Answered, c.NotRun, c.Unknown, last)
+}
+
+// measure notes how uneven the flows are on the endpoints that take new ones.
+func (r *run) measure() {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	for service, backends := range r.fleet.backends {
+		highest, sum, n := 0, 0, 0
+		for name, b := range backends {
+			if name == r.leaving {
+				continue
+			}
+			flows := b.Flows()
+			highest, sum, n = max(highest, flows), sum+flows, n+1
+		}
+		if sum >= 20*n {
+			r.imbalance[service] = append(r.imbalance[service], float64(highest)*float64(n)/float64(sum))
+		}
+	}
+}
+
+type event struct {
+	name   string
+	at     time.Time
+	happen func(context.Context) error
+}
+
+// plan spreads the events over the run.
+func (r *run) plan() []event {
+	all := map[string]func(context.Context) error{
+		"drain": r.drain, "join": r.join, "kill": r.kill, "restart": r.restartAll, "cut": r.kill,
+	}
+	names := r.fleet.config.Events
+	step := (r.fleet.config.For - warmUp - 2*coolDown) / time.Duration(len(names)+1)
+	var events []event
+	for n, name := range names {
+		events = append(events, event{name, r.began.Add(warmUp + time.Duration(n)*step), all[name]})
+	}
+	return events
+}
+
+func (r *run) firstService() string {
+	services, _ := r.fleet.team["services"].([]any)
+	name, _ := services[0].(string)
+	return name
+}
+
+// drain lets the third endpoint of the first service leave.
+func (r *run) drain(ctx context.Context) error {
+	service := r.firstService()
+	endpoints, _ := r.fleet.document[service]["endpoints"].([]any)
+	endpoint, _ := endpoints[2].(map[string]any)
+	endpoint["leaving"] = true
+	r.leaving, _ = endpoint["name"].(string)
+	return r.fleet.accept(ctx, []*wire.Object{r.fleet.serviceObject(service)})
+}
+
+// join adds a cold endpoint to the first service.
+func (r *run) join(ctx context.Context) error {
+	service := r.firstService()
+	var typed intent.Service
+	body := r.fleet.serviceObject(service)
+	if err := json.Unmarshal(body.Body, &typed); err != nil {
+		return err
+	}
+	first := typed.Endpoints[0]
+	added := intent.Endpoint{Name: service + "-joined", Domain: first.Domain, Slots: first.Slots, Connections: first.Connections}
+	const cold = 2 * time.Second
+	entry, err := r.fleet.addBackend(service, typed, added, cold)
+	if err != nil {
+		return err
+	}
+	endpoints, _ := r.fleet.document[service]["endpoints"].([]any)
+	r.fleet.document[service]["endpoints"] = append(endpoints, entry)
+	return r.fleet.accept(ctx, []*wire.Object{r.fleet.serviceObject(service)})
+}
+
+// kill ends an entry without a word and starts it again with empty memory.
+func (r *run) kill(ctx context.Context) error {
+	victim := r.fleet.settings.Instances[1+r.rng.IntN(len(r.fleet.settings.Instances)-1)].Name
+	r.fleet.ledger.Unplanned()
+	r.fleet.mu.Lock()
+	i := r.fleet.instances[victim]
+	r.fleet.mu.Unlock()
+	i.Kill()
+	time.Sleep(fabricLag)
+	r.fleet.fabric.RemoveEntry(victim)
+	const downFor = 3 * time.Second
+	go func() {
+		time.Sleep(downFor)
+		if ctx.Err() == nil {
+			_ = r.fleet.start(ctx, victim)
+		}
+	}()
+	return nil
+}
+
+// restartAll stops and starts every entry, one after the other, as planned.
+func (r *run) restartAll(ctx context.Context) error {
+	for _, own := range r.fleet.settings.Instances {
+		r.fleet.mu.Lock()
+		i := r.fleet.instances[own.Name]
+		r.fleet.mu.Unlock()
+		limit, cancel := context.WithTimeout(ctx, stopLimit)
+		r.fleet.fabric.RemoveEntry(own.Name)
+		err := i.Stop(limit)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("stop %s: %w", own.Name, err)
+		}
+		if err := r.fleet.start(ctx, own.Name); err != nil {
+			return err
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+func (r *run) report() Report {
+	c := r.fleet.ledger.Counts()
+	report := Report{
+		User: r.fleet.config.User, Placement: placementName(r.fleet.config.Placement), Seconds: r.fleet.config.For.Seconds(),
+		Flows: c.Flows, BrokenPlanned: c.BrokenPlanned, BrokenUnplanned: c.BrokenUnplanned, Misdelivered: c.Misdelivered,
+		Crossed: c.Crossed, NotOpened: c.NotOpened, Requests: c.Requests, Answered: c.Answered, NotRun: c.NotRun,
+		Unknown: c.Unknown, NoAnswer: c.NoAnswer, RanTwice: c.RanTwice, FalseNotRun: c.FalseNotRun, LateNew: c.LateNew,
+		Incomplete: c.Incomplete, Imbalance: map[string]float64{}, Reasons: r.fleet.ledger.Reasons(), Events: r.events,
+	}
+	for service, values := range r.imbalance {
+		slices.Sort(values)
+		report.Imbalance[service] = values[len(values)/2]
+	}
+	var in, relayed, forwarded int64
+	r.fleet.mu.Lock()
+	for _, i := range r.fleet.instances {
+		in += i.Counters().Counter("packets_in").Count()
+		relayed += i.Counters().Counter("packets_relayed").Count()
+		forwarded += i.Counters().Counter("flow_by_cache").Count() + i.Counters().Counter("flow_by_settled").Count()
+	}
+	r.fleet.mu.Unlock()
+	report.PacketsPerSecond = float64(in) / r.fleet.config.For.Seconds()
+	if in > 0 {
+		report.RelayedShare = float64(relayed) / float64(in)
+	}
+	return report
+}
+
+func placementName(p string) string {
+	if p == "" {
+		return "oxbowsaddle"
+	}
+	return p
+}
+
+// Table writes the report for people.
+func (r Report) Table(w io.Writer) {
+	row := func(name string, value any) { fmt.Fprintf(w, "  %-22s %v\n", name, value) }
+	fmt.Fprintf(w, "\n%s, placement %s, %.0f s, events: %s\n", r.User, r.Placement, r.Seconds, strings.Join(r.Events, ", "))
+	row("flows", r.Flows)
+	row("broken, planned", r.BrokenPlanned)
+	row("broken, unplanned", r.BrokenUnplanned)
+	row("misdelivered", r.Misdelivered)
+	row("requests", r.Requests)
+	row("answered", r.Answered)
+	row("not run, said so", r.NotRun)
+	row("unknown", r.Unknown)
+	row("ran twice", r.RanTwice)
+	row("false not run", r.FalseNotRun)
+	for _, service := range slices.Sorted(mapKeys(r.Imbalance)) {
+		row("imbalance "+service, fmt.Sprintf("%.3f", r.Imbalance[service]))
+	}
+	row("packets a second", fmt.Sprintf("%.0f", r.PacketsPerSecond))
+	row("relayed share", fmt.Sprintf("%.4f", r.RelayedShare))
+}
+
+func mapKeys(m map[string]float64) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// Check returns an error that names the broken promises, or nil.
+func (r Report) Check() error {
+	if broken := r.Broken(); len(broken) > 0 {
+		return fault.New(fault.PromiseBroken, "%s", strings.Join(broken, ", "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,309 @@
+// Package demo runs a whole fleet in one process on loopback sockets, with
+// stand-ins of what it serves, and reports what callers and backend servers
+// have seen.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"oxbowsaddle/examples"
+	"oxbowsaddle/internal/instance"
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/standin"
+	"oxbowsaddle/internal/telemetry"
+	"oxbowsaddle/internal/wire"
+)
+
+const spareEndpoints = 2 // that can join while traffic flows
+
+type (
+	// Config sets up a run.
+	Config struct {
+		User      string // visa or qasr
+		Seed      uint64
+		For       time.Duration
+		Events    []string
+		Placement string // empty, or instance.PlacementModulo
+		Folder    string // data folders go below it
+		Log       io.Writer
+		LogLevel  string
+		Progress  io.Writer
+		Now       func() time.Time
+	}
+
+	// fleet is 8 instances with their stand-ins.
+	fleet struct {
+		config    Config
+		settings  settings.Settings
+		document  map[string]map[string]any // services as JSON, by name
+		team      map[string]any
+		teamName  string
+		fabric    *standin.Fabric
+		ledger    *standin.Ledger
+		callers   *standin.Callers
+		mu        sync.Mutex
+		instances map[string]*instance.Instance
+		backends  map[string]map[string]*standin.Backend // by service and name
+		group     sync.WaitGroup
+		runErrors []error
+		changes   int
+		templates map[string]json.RawMessage
+	}
+)
+
+// newFleet reads the user's example, gives it free ports and starts all of it.
+func newFleet(ctx context.Context, c Config) (*fleet, error) {
+	f := &fleet{config: c, instances: map[string]*instance.Instance{}, backends: map[string]map[string]*standin.Backend{}, document: map[string]map[string]any{}}
+	f.ledger = standin.NewLedger(c.Now)
+	var err error
+	if f.fabric, err = standin.NewFabric(netip.MustParseAddrPort("127.0.0.1:0"), c.Seed); err != nil {
+		return nil, err
+	}
+	f.callers = standin.NewCallers(f.fabric, f.ledger, c.Now)
+	if err := errors.Join(f.readSettings(), f.readDocument()); err != nil {
+		return f, err
+	}
+	for _, i := range f.settings.Instances {
+		if err := f.start(ctx, i.Name); err != nil {
+			return f, err
+		}
+	}
+	return f, f.acceptAll(ctx)
+}
+
+func (f *fleet) readSettings() error {
+	data, err := examples.Files.ReadFile(f.config.User + "/settings.jsonc")
+	if err != nil {
+		return fmt.Errorf("there is no example %q: visa or qasr", f.config.User)
+	}
+	s, faults := settings.Parse(data)
+	if len(faults) > 0 {
+		return fmt.Errorf("example settings: %v", faults[0])
+	}
+	s.Fabric = f.fabric.Addr()
+	s.Times.Ramp = settings.Duration(3 * time.Second)
+	for n := range s.Instances {
+		i := &s.Instances[n]
+		if i.Packets, err = freePort("udp"); err != nil {
+			return err
+		}
+		if i.Control, err = freePort("tcp"); err != nil {
+			return err
+		}
+		if i.Data != "" {
+			i.Data = filepath.Join(f.config.Folder, i.Name)
+		}
+	}
+	f.settings = s
+	return nil
+}
+
+// freePort returns a loopback address that nothing uses now.
+func freePort(network string) (netip.AddrPort, error) {
+	if network == "udp" {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		defer func() { _ = conn.Close() }()
+		return netip.ParseAddrPort(conn.LocalAddr().String())
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+// readDocument starts a backend server for each endpoint of the example and
+// writes its addresses into the document.
+func (f *fleet) readDocument() error {
+	data, err := examples.Files.ReadFile(f.config.User + "/intent.jsonc")
+	if err != nil {
+		return err
+	}
+	objects, err := intent.ParseFile(data)
+	if err != nil {
+		return err
+	}
+	f.templates = map[string]json.RawMessage{}
+	for _, o := range objects {
+		switch o.Kind {
+		case intent.KindTemplate:
+			f.templates[o.Name] = o.Body
+		case intent.KindTeam:
+			f.teamName = o.Name
+			if err := json.Unmarshal(o.Body, &f.team); err != nil {
+				return err
+			}
+		case intent.KindService:
+			if err := f.readService(o); err != nil {
+				return err
+			}
+		}
+	}
+	// Flows in the demo send often, so that transitions end while one watches.
+	parameters, _ := f.team["parameters"].(map[string]any)
+	if parameters == nil {
+		parameters = map[string]any{}
+	}
+	parameters["idle"] = "2s"
+	f.team["parameters"] = parameters
+	return nil
+}
+
+func (f *fleet) readService(o intent.Object) error {
+	var typed intent.Service
+	var loose map[string]any
+	if err := errors.Join(json.Unmarshal(o.Body, &typed), json.Unmarshal(o.Body, &loose)); err != nil {
+		return err
+	}
+	f.backends[o.Name] = map[string]*standin.Backend{}
+	var endpoints []any
+	for _, e := range typed.Endpoints {
+		entry, err := f.addBackend(o.Name, typed, e, 0)
+		if err != nil {
+			return err
+		}
+		endpoints = append(endpoints, entry)
+	}
+	loose["endpoints"] = endpoints
+	f.document[o.Name] = loose
+	return nil
+}
+
+// addBackend starts a backend server and returns its endpoint for the document.
+func (f *fleet) addBackend(service string, s intent.Service, e intent.Endpoint, cold time.Duration) (map[string]any, error) {
+	var addresses []netip.AddrPort
+	for _, c := range s.Classes {
+		addresses = append(addresses, c.Address)
+	}
+	const serviceTime, blocks = 40 * time.Millisecond, 4
+	b, err := standin.NewBackend(standin.BackendConfig{
+		Name: e.Name, Service: service, Addr: netip.MustParseAddrPort("127.0.0.1:0"), HealthAddr: netip.MustParseAddrPort("127.0.0.1:0"),
+		Addresses: addresses, Slots: e.Slots, Connections: e.Connections, ServiceTime: serviceTime, Cold: cold, Blocks: blocks,
+		Pick: f.fabric.Pick, Ledger: f.ledger, Now: f.config.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.backends[service][e.Name] = b
+	f.mu.Unlock()
+	return map[string]any{
+		"name": e.Name, "address": b.Addr().String(), "health": b.HealthAddr().String(), "domain": e.Domain,
+		"slots": e.Slots, "connections": e.Connections,
+	}, nil
+}
+
+// start starts an instance with empty memory.
+func (f *fleet) start(ctx context.Context, name string) error {
+	logger, err := telemetry.NewLogger(f.config.Log, f.config.LogLevel, name)
+	if err != nil {
+		return err
+	}
+	i, err := instance.New(instance.Config{Settings: f.settings, Name: name, Log: logger, Now: f.config.Now, Placement: f.config.Placement})
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.instances[name] = i
+	f.mu.Unlock()
+	f.group.Go(func() {
+		if err := i.Run(ctx); err != nil {
+			f.mu.Lock()
+			f.runErrors = append(f.runErrors, fmt.Errorf("%s: %w", name, err))
+			f.mu.Unlock()
+		}
+	})
+	own, err := f.settings.Instance(name)
+	if err != nil {
+		return err
+	}
+	f.fabric.AddEntry(name, own.Packets)
+	return nil
+}
+
+// acceptAll has the whole example accepted; an operator would run
+// `oxbowsaddle accept`.
+func (f *fleet) acceptAll(ctx context.Context) error {
+	var objects []*wire.Object
+	for name, body := range f.templates {
+		objects = append(objects, &wire.Object{Kind: intent.KindTemplate, Name: name, Body: body})
+	}
+	for name := range f.document {
+		objects = append(objects, f.serviceObject(name))
+	}
+	team, err := json.Marshal(f.team)
+	if err != nil {
+		return err
+	}
+	objects = append(objects, &wire.Object{Kind: intent.KindTeam, Name: f.teamName, Body: team})
+	return f.accept(ctx, objects)
+}
+
+func (f *fleet) serviceObject(name string) *wire.Object {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	body, err := json.Marshal(f.document[name])
+	if err != nil {
+		return nil
+	}
+	return &wire.Object{Kind: intent.KindService, Name: name, Body: body}
+}
+
+// accept offers a change to one instance after the other until it is taken;
+// the same id makes it count once.
+func (f *fleet) accept(ctx context.Context, objects []*wire.Object) error {
+	const tries, pause = 40, 250 * time.Millisecond
+	f.changes++
+	change := &wire.Change{Id: fmt.Sprintf("demo-%d", f.changes), Author: "demo", Base: 1 << 62, Objects: objects}
+	var last string
+	for try := range tries {
+		target := f.settings.Instances[try%len(f.settings.Instances)]
+		kind, err := submit(ctx, target.Control, change)
+		if err == nil && (kind.Kind == "accepted" || kind.Kind == "already accepted") {
+			return nil
+		}
+		if err == nil {
+			last = fmt.Sprint(kind.Kind, " ", kind.Detail, " ", kind.Faults)
+			if kind.Kind == "invalid" || kind.Kind == "conflict" || kind.Kind == "needs confirmation" {
+				break
+			}
+		}
+		time.Sleep(pause)
+	}
+	return fmt.Errorf("the example was not accepted: %s", last)
+}
+
+func submit(ctx context.Context, addr netip.AddrPort, c *wire.Change) (*wire.SubmitReply, error) {
+	client, done, err := instance.Dial(ctx, addr, settings.TLS{})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = done() }()
+	return client.Submit(ctx, c)
+}
+
+func (f *fleet) close() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	errs := []error{f.fabric.Close()}
+	for _, backends := range f.backends {
+		for _, b := range backends {
+			errs = append(errs, b.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/demo/traffic.go
@@ -0,0 +1,82 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"oxbowsaddle/internal/intent"
+	"oxbowsaddle/internal/standin"
+)
+
+const (
+	shortFlow       = 700 * time.Millisecond
+	requestDeadline = 3 * time.Second
+)
+
+// startTraffic starts the callers of every class until the given time: long
+// feeds and short downloads on flow classes, requests on work classes.
+func (r *run) startTraffic(ctx context.Context, group *sync.WaitGroup, until time.Time) {
+	for service := range r.fleet.document {
+		var s intent.Service
+		if json.Unmarshal(r.fleet.serviceObject(service).Body, &s) != nil {
+			continue
+		}
+		for _, class := range s.Classes {
+			switch {
+			case class.Kind == intent.ClassWork:
+				r.startRequests(ctx, group, until, service, s, class)
+			case service == r.firstService():
+				r.startFeeds(ctx, group, until, class, feedPerUnit*len(s.Endpoints))
+			default:
+				r.startDownloads(ctx, group, until, class, 8*len(s.Endpoints))
+			}
+		}
+	}
+}
+
+// startFeeds opens flows that last for the whole run.
+func (r *run) startFeeds(ctx context.Context, group *sync.WaitGroup, until time.Time, class intent.Class, n int) {
+	for range n {
+		delay := rand.N(2 * time.Second)
+		group.Go(func() {
+			time.Sleep(delay)
+			left := until.Sub(r.fleet.config.Now())
+			r.fleet.callers.Flow(ctx, standin.FlowConfig{To: class.Address, Interval: feedEvery, Lasts: left})
+		})
+	}
+}
+
+// startDownloads opens one short flow after the other.
+func (r *run) startDownloads(ctx context.Context, group *sync.WaitGroup, until time.Time, class intent.Class, n int) {
+	for range n {
+		group.Go(func() {
+			for r.fleet.config.Now().Before(until) && ctx.Err() == nil {
+				lasts := shortFlow/2 + rand.N(shortFlow)
+				r.fleet.callers.Flow(ctx, standin.FlowConfig{To: class.Address, Interval: shortFlow / 10, Lasts: lasts})
+			}
+		})
+	}
+}
+
+// startRequests keeps the slots of a service about two thirds busy.
+func (r *run) startRequests(ctx context.Context, group *sync.WaitGroup, until time.Time, service string, s intent.Service, class intent.Class) {
+	slots := 0
+	for _, e := range s.Endpoints {
+		slots += e.Slots
+	}
+	blocks := service != r.firstService()
+	callers := max(slots/3, 2)
+	for range callers {
+		group.Go(func() {
+			for r.fleet.config.Now().Before(until) && ctx.Err() == nil {
+				r.fleet.callers.Request(ctx, standin.RequestConfig{
+					Class: class.Name, To: class.Address, Once: !class.Repeatable, Deadline: requestDeadline, Blocks: blocks,
+				})
+				time.Sleep(rand.N(10 * time.Millisecond))
+			}
+		})
+	}
+}
--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -26,6 +26,9 @@
 	}
 	id := e.config.Hasher.Flow(tuple)
 	v := Verdict{service: service, endpoint: endpoint, id: id, bucket: service.Bucket(id)}
+	if e.config.Modulo {
+		return e.answerIf(true, v, ByAnswer)
+	}
 	got := e.answerFor(now, v, p)
 	if got.action == Forward && p.Flags().Accepts() && e.doubtful() {
 		e.announceAccepted(got)
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -97,6 +97,9 @@
 	}
 	id := e.config.Hasher.Flow(tuple)
 	v := Verdict{service: service, id: id, bucket: service.Bucket(id)}
+	if e.config.Modulo {
+		return e.modulo(v)
+	}
 	if relay, ok := p.Relay(); ok && relay.Kind() == packet.RelayStore {
 		return e.store(now, v, p, relay)
 	}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -91,6 +91,7 @@
 		PushRetry    time.Duration // after which an unanswered push is sent again
 		HalfOpenLife time.Duration // how long a flow without a second packet is cached
 		SweepEvery   time.Duration // how long one pass over the cached flows takes
+		Modulo       bool          // the baseline: hash modulo the live endpoints, without state
 	}
 
 	// View is what the control goroutine tells the engine; it is immutable.
@@ -154,3 +155,21 @@
 
 // ID returns the flow.
 func (v Verdict) ID() route.FlowID { return v.id }
+
+// Knowledge is what an engine knows of one flow; 0 is nothing.
+type Knowledge struct {
+	ID               route.FlowID
+	Cached, Recorded uint32
+}
+
+// Known returns what is known of the flow that a caller's tuple names.
+func (e *Engine) Known(t packet.Tuple) Knowledge {
+	k := Knowledge{ID: e.config.Hasher.Flow(t)}
+	if s := e.flows.get(k.ID); s != nil {
+		k.Cached = s.endpoint
+	}
+	if r, ok := e.records[k.ID]; ok {
+		k.Recorded = r.endpoint
+	}
+	return k
+}
--- /dev/null
+++ b/internal/instance/batch.go
@@ -0,0 +1,118 @@
+package instance
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/net/ipv6"
+
+	"oxbowsaddle/internal/fault"
+)
+
+const (
+	batchSize  = 64
+	packetSize = 9216 // a jumbo frame with its tunnel header
+)
+
+// batchConn reads and writes datagrams many at a time, over IPv4 or IPv6.
+type batchConn struct {
+	udp   *net.UDPConn
+	read  func([]ipv4.Message, int) (int, error)
+	write func([]ipv4.Message, int) (int, error)
+	in    []ipv4.Message
+	out   []ipv4.Message
+	used  int
+	addrs map[netip.AddrPort]*net.UDPAddr
+}
+
+func newBatchConn(addr netip.AddrPort, queueBytes int) (*batchConn, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fault.Wrap(listenKind(err), fmt.Errorf("packet address: %w", err))
+	}
+	if err := errors.Join(udp.SetReadBuffer(queueBytes), udp.SetWriteBuffer(queueBytes)); err != nil {
+		return nil, fault.Wrap(fault.InvalidSettings, errors.Join(err, udp.Close()))
+	}
+	b := &batchConn{udp: udp, addrs: map[netip.AddrPort]*net.UDPAddr{}}
+	if addr.Addr().Is4() {
+		p := ipv4.NewPacketConn(udp)
+		b.read, b.write = p.ReadBatch, p.WriteBatch
+	} else {
+		p := ipv6.NewPacketConn(udp)
+		b.read, b.write = p.ReadBatch, p.WriteBatch
+	}
+	b.in, b.out = newMessages(packetSize), newMessages(packetSize)
+	return b, nil
+}
+
+func newMessages(size int) []ipv4.Message {
+	messages := make([]ipv4.Message, batchSize)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, size)}
+	}
+	return messages
+}
+
+// receive waits for datagrams until a deadline; no error at the deadline.
+func (b *batchConn) receive(deadline time.Time) ([]ipv4.Message, error) {
+	if err := b.udp.SetReadDeadline(deadline); err != nil {
+		return nil, err
+	}
+	n, err := b.read(b.in, 0)
+	if err != nil {
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			return nil, nil
+		}
+		return nil, err
+	}
+	return b.in[:n], nil
+}
+
+// next returns the buffer of the next datagram to be sent, empty.
+func (b *batchConn) next() []byte { return b.out[b.used].Buffers[0][:0] }
+
+// queue sends a datagram that was appended to the buffer of next.
+func (b *batchConn) queue(data []byte, to netip.AddrPort) error {
+	m := &b.out[b.used]
+	m.Buffers[0] = data
+	m.Addr = b.addr(to)
+	b.used++
+	if b.used == len(b.out) {
+		return b.flush()
+	}
+	return nil
+}
+
+// addr returns the address as the socket wants it, made once for each.
+func (b *batchConn) addr(to netip.AddrPort) *net.UDPAddr {
+	const most = 1 << 16
+	a := b.addrs[to]
+	if a == nil {
+		if len(b.addrs) >= most {
+			clear(b.addrs)
+		}
+		a = net.UDPAddrFromAddrPort(to)
+		b.addrs[to] = a
+	}
+	return a
+}
+
+// flush sends what is queued. A datagram that the kernel refuses is skipped:
+// the network may lose it as well.
+func (b *batchConn) flush() error {
+	sent := 0
+	for sent < b.used {
+		n, err := b.write(b.out[sent:b.used], 0)
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		sent += max(n, 1)
+	}
+	b.used = 0
+	return nil
+}
--- /dev/null
+++ b/internal/instance/checker.go
@@ -0,0 +1,140 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/dchest/siphash"
+
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+// checkersEach is how many entries check one endpoint, so that one of them
+// that lies or is cut off does not decide.
+const checkersEach = 2
+
+type (
+	// checker asks backend servers how they are. It decides nothing.
+	checker struct {
+		instance *Instance
+		client   *http.Client
+	}
+
+	// healthAnswer is what a backend server tells of one endpoint.
+	healthAnswer struct {
+		Healthy     bool   `json:"healthy"`
+		Leaving     bool   `json:"leaving"`
+		Shedding    bool   `json:"shedding"`
+		Connections uint32 `json:"connections"`
+		Running     uint32 `json:"running"`
+	}
+)
+
+func newChecker(i *Instance) *checker {
+	return &checker{instance: i, client: &http.Client{Timeout: i.config.Settings.Times.CheckTimeout.Std()}}
+}
+
+// run checks this entry's share of the endpoints again and again.
+func (c *checker) run(ctx context.Context) error {
+	ticker := time.NewTicker(c.instance.config.Settings.Times.Check.Std())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		loads := c.check(ctx, c.mine())
+		select {
+		case c.instance.control.loads <- loads:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// mine returns the endpoints that this entry checks: the entries of their
+// failure domain are ranked for each, and two of them check it.
+func (c *checker) mine() []*route.Endpoint {
+	table := c.instance.view.Load().Table
+	var local []route.Member
+	for _, m := range table.Members() {
+		if m.Domain() == c.instance.self.Domain {
+			local = append(local, m)
+		}
+	}
+	var found []*route.Endpoint
+	table.Services(func(s *route.Service) {
+		for _, e := range table.EndpointsOf(s.ID()) {
+			if e.Health().IsValid() && e.Domain() == c.instance.self.Domain && c.amongFirst(local, e.ID()) {
+				found = append(found, e)
+			}
+		}
+	})
+	most := int(float64(c.instance.config.Settings.Limits.ChecksASecond) * c.instance.config.Settings.Times.Check.Std().Seconds())
+	return found[:min(len(found), max(most, 1))]
+}
+
+func (c *checker) amongFirst(local []route.Member, endpoint uint32) bool {
+	mine := siphash.Hash(uint64(endpoint), 0, []byte(c.instance.self.Name))
+	better := 0
+	for _, m := range local {
+		if siphash.Hash(uint64(endpoint), 0, []byte(m.Name())) > mine {
+			better++
+		}
+	}
+	return better < checkersEach
+}
+
+// check asks the endpoints, a few at a time.
+func (c *checker) check(ctx context.Context, endpoints []*route.Endpoint) []*wire.EndpointLoad {
+	const atOnce = 16
+	loads := make([]*wire.EndpointLoad, len(endpoints))
+	slots := make(chan struct{}, atOnce)
+	var wait sync.WaitGroup
+	for n, e := range endpoints {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			loads[n] = c.ask(ctx, e)
+		})
+	}
+	wait.Wait()
+	return loads
+}
+
+func (c *checker) ask(ctx context.Context, e *route.Endpoint) *wire.EndpointLoad {
+	const mostBytes = 4096
+	var a healthAnswer
+	err := getJSON(ctx, c.client, fmt.Sprintf("http://%s/health", e.Health()), mostBytes, func(d *json.Decoder) error { return d.Decode(&a) })
+	if err != nil {
+		c.instance.counters.Counter("check_failures").Inc(1)
+		return &wire.EndpointLoad{Endpoint: e.ID()}
+	}
+	return &wire.EndpointLoad{
+		Endpoint: e.ID(), Healthy: a.Healthy, Leaving: a.Leaving, Shedding: a.Shedding,
+		Connections: a.Connections, Running: a.Running,
+	}
+}
+
+// getJSON gets a bounded JSON document.
+func getJSON(ctx context.Context, client *http.Client, url string, most int64, read func(*json.Decoder) error) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("get %s: status %d", url, answer.StatusCode)
+	}
+	return read(json.NewDecoder(io.LimitReader(answer.Body, most)))
+}
--- /dev/null
+++ b/internal/instance/server.go
@@ -0,0 +1,370 @@
+package instance
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"oxbowsaddle/internal/control"
+	"oxbowsaddle/internal/entry"
+	"oxbowsaddle/internal/explain"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// submitTimeout bounds how long an operator waits for a majority.
+	submitTimeout = 5 * time.Second
+	mostDecisions = 20
+)
+
+// server answers calls on the control address.
+type server struct {
+	instance *Instance
+	slots    chan struct{} // operators' calls that are served at a time
+}
+
+// serve answers calls until the context ends.
+func (i *Instance) serve(ctx context.Context) error {
+	mux := drpcmux.New()
+	s := &server{instance: i, slots: make(chan struct{}, i.config.Settings.Limits.OperatorCalls)}
+	if err := wire.DRPCRegisterControl(mux, s); err != nil {
+		return fault.Wrap(fault.Internal, err)
+	}
+	return drpcserver.New(mux).Serve(ctx, i.listener)
+}
+
+// Beat answers an entry's beat.
+func (s *server) Beat(ctx context.Context, r *wire.BeatRequest) (*wire.BeatReply, error) {
+	l := s.instance.leader
+	if l == nil {
+		return &wire.BeatReply{}, nil
+	}
+	var reply *wire.BeatReply
+	err := l.call(ctx, func(now time.Time) { reply = l.beat(now, r) })
+	return reply, err
+}
+
+// Step takes a message of the replicated log.
+func (s *server) Step(ctx context.Context, m *wire.LogMessage) (*wire.StepReply, error) {
+	l := s.instance.leader
+	if l == nil {
+		return &wire.StepReply{}, nil
+	}
+	err := l.call(ctx, func(now time.Time) { l.replica.Step(now, m) })
+	return &wire.StepReply{}, err
+}
+
+// enter takes one of the bounded places for operators' calls.
+func (s *server) enter(ctx context.Context) (func(), error) {
+	select {
+	case s.slots <- struct{}{}:
+		return func() { <-s.slots }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Submit offers an operator's change to the leader, here or elsewhere.
+func (s *server) Submit(ctx context.Context, c *wire.Change) (*wire.SubmitReply, error) {
+	leave, err := s.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if answer, err := s.submitHere(ctx, c); err == nil || c.Forwarded {
+		return submitReply(answer, err), nil
+	}
+	forwarded := &wire.Change{
+		Id: c.Id, Author: c.Author, Base: c.Base, Confirmed: c.Confirmed, Objects: c.Objects, Plan: c.Plan, Forwarded: true,
+	}
+	reply := submitReply(control.Answer{}, fault.New(fault.NoQuorum, "no control instance could decide"))
+	for _, target := range s.controlTargets(ctx) {
+		client, err := s.instance.dialer.clientOf(ctx, target, "operator")
+		if err != nil {
+			continue
+		}
+		got, err := client.Submit(ctx, forwarded)
+		if err == nil && got.Kind != fault.NotCurrent.Name() {
+			return got, nil
+		}
+	}
+	return reply, nil
+}
+
+// controlTargets returns the other control instances, the leader first.
+func (s *server) controlTargets(ctx context.Context) []netip.AddrPort {
+	leader := ""
+	_ = s.instance.control.call(ctx, func(time.Time) { leader = s.instance.control.core.Leader() })
+	names := s.instance.config.Settings.Voters()
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case a == leader:
+			return -1
+		case b == leader:
+			return 1
+		}
+		return 0
+	})
+	var targets []netip.AddrPort
+	for _, name := range names {
+		if other, err := s.instance.config.Settings.Instance(name); err == nil && name != s.instance.self.Name {
+			targets = append(targets, other.Control)
+		}
+	}
+	return targets
+}
+
+func (s *server) submitHere(ctx context.Context, c *wire.Change) (control.Answer, error) {
+	l := s.instance.leader
+	if l == nil {
+		return control.Answer{}, fault.New(fault.NotCurrent, "%s is no control instance", s.instance.self.Name)
+	}
+	var answer control.Answer
+	var wait chan control.Answer
+	var err error
+	if callErr := l.call(ctx, func(now time.Time) { answer, wait, err = l.submit(now, c) }); callErr != nil {
+		return control.Answer{}, fault.Wrap(fault.NoQuorum, callErr)
+	}
+	if err != nil || wait == nil {
+		return answer, err
+	}
+	select {
+	case a, decided := <-wait:
+		if !decided {
+			return control.Answer{}, fault.New(fault.NoQuorum, "the leader changed before a majority had it on disk")
+		}
+		return a, nil
+	case <-ctx.Done():
+		return control.Answer{}, fault.New(fault.NoQuorum, "no majority had it on disk in time")
+	}
+}
+
+func submitReply(a control.Answer, err error) *wire.SubmitReply {
+	if err != nil {
+		return &wire.SubmitReply{Kind: fault.KindOf(err).Name(), Detail: err.Error()}
+	}
+	return &wire.SubmitReply{Kind: string(a.Outcome), Revision: a.Revision, Detail: a.Detail, Faults: a.Faults}
+}
+
+// Status tells what this instance holds and, by the leader, who lags.
+func (s *server) Status(ctx context.Context, r *wire.StatusRequest) (*wire.StatusReply, error) {
+	leave, err := s.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	reply := &wire.StatusReply{Name: s.instance.self.Name, Domain: s.instance.self.Domain, Role: "entry"}
+	err = s.instance.control.call(ctx, func(now time.Time) { s.fillEntry(reply, now, r.History) })
+	if err != nil {
+		return nil, err
+	}
+	if s.fillLeader(ctx, reply) || r.Forwarded {
+		return reply, nil
+	}
+	s.askLeader(ctx, reply)
+	return reply, nil
+}
+
+func (s *server) fillEntry(reply *wire.StatusReply, now time.Time, history bool) {
+	core := s.instance.control.core
+	state := core.State()
+	reply.Term, reply.LeaderName = core.Term(), core.Leader()
+	reply.Applied, reply.Active, reply.Revision = state.Index(), core.Active(), state.Revision()
+	reply.LeaseLeftNanos = int64(max(core.LeaseUntil().Sub(now), 0))
+	if !core.Confirmed().IsZero() {
+		reply.ConfirmedAgoNanos = int64(now.Sub(core.Confirmed()))
+	}
+	reply.Objects = state.Objects()
+	if history {
+		reply.History = state.History()
+	}
+	for _, m := range state.Table().Members() {
+		reply.Members = append(reply.Members, &wire.MemberStatus{Name: m.Name(), Domain: m.Domain(), Leaving: m.Leaving()})
+	}
+}
+
+// fillLeader adds what only the leader knows; false where this is not it.
+func (s *server) fillLeader(ctx context.Context, reply *wire.StatusReply) bool {
+	l := s.instance.leader
+	if l == nil {
+		return false
+	}
+	leads := false
+	_ = l.call(ctx, func(now time.Time) {
+		reply.Role = l.replica.Role().String()
+		reply.Commit = l.replica.Commit()
+		if l.ctl == nil || !l.replica.Current(now) {
+			return
+		}
+		leads = true
+		reply.LeaderName, reply.Term = s.instance.self.Name, l.replica.Term()
+		reply.Members = nil
+		for _, m := range l.ctl.Status(now) {
+			reply.Members = append(reply.Members, &wire.MemberStatus{
+				Name: m.Name, Domain: m.Domain, Applied: m.Applied, SilentNanos: int64(m.Silent), Leased: m.Leased,
+			})
+		}
+		reply.Drains = l.drains(now)
+	})
+	return leads
+}
+
+// askLeader adds what the leader knows to the status of another instance.
+func (s *server) askLeader(ctx context.Context, reply *wire.StatusReply) {
+	leader, err := s.instance.config.Settings.Instance(reply.LeaderName)
+	if err != nil {
+		return
+	}
+	client, err := s.instance.dialer.clientOf(ctx, leader.Control, "operator")
+	if err != nil {
+		return
+	}
+	if got, err := client.Status(ctx, &wire.StatusRequest{Forwarded: true}); err == nil {
+		reply.Members, reply.Drains, reply.Commit = got.Members, got.Drains, got.Commit
+	}
+}
+
+// drains tells what each leaving endpoint still waits for.
+func (l *leaderLoop) drains(now time.Time) []*wire.DrainStatus {
+	table := l.state.Table()
+	waits := map[uint32]*wire.DrainStatus{}
+	var order []uint32
+	table.Services(func(s *route.Service) {
+		for _, e := range table.EndpointsOf(s.ID()) {
+			if since, leaving := l.state.LeavingSince(e.ID()); leaving {
+				waits[e.ID()] = &wire.DrainStatus{Service: s.Name(), Endpoint: e.Name(), SinceNanos: int64(now.Sub(since))}
+				order = append(order, e.ID())
+			}
+		}
+		for bucket, t := range s.Open() {
+			if d := waits[t.Default]; d != nil && !t.Flipped() {
+				d.Buckets++
+				d.Flows += l.ctl.FlowsLeft(s.ID(), bucket)
+			} else if d := waits[t.Previous]; d != nil {
+				d.Buckets++
+				d.Flows += l.ctl.FlowsLeft(s.ID(), bucket)
+			}
+		}
+	})
+	var all []*wire.DrainStatus
+	for _, id := range order {
+		all = append(all, waits[id])
+	}
+	return all
+}
+
+// Stats returns every counter.
+func (s *server) Stats(ctx context.Context, _ *wire.StatsRequest) (*wire.StatsReply, error) {
+	leave, err := s.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	s.instance.refreshGauges()
+	reply := &wire.StatsReply{}
+	s.instance.counters.Each(func(name string, value int64) {
+		reply.Counters = append(reply.Counters, &wire.Counter{Name: name, Value: value})
+	})
+	slices.SortFunc(reply.Counters, func(a, b *wire.Counter) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return reply, nil
+}
+
+func (i *Instance) refreshGauges() {
+	r := i.traffic.report.Load()
+	for name, value := range map[string]int{
+		"flows_cached": r.flows.Flows, "flows_half_open": r.flows.HalfOpen, "flow_records": r.flows.Records,
+		"packets_waiting": r.flows.Waiting, "push_backlog": int(r.flows.PushBacklog), "requests_held": r.work.Requests,
+		"requests_queued": r.work.Queue, "request_keys_kept": r.work.Kept, "flow_table_full": int(r.flows.TableFull),
+		"push_bytes": int(r.flows.PushBytes), "hold_bytes": int(r.work.HoldBytes),
+		"broken_rules": int(r.flows.Broken + r.work.Broken), "requests_late_answers": int(r.work.Late),
+		"requests_duplicate": int(r.work.Duplicates), "requests_retried": int(r.work.Retries), "requests_shed": int(r.work.Shed),
+	} {
+		i.counters.Gauge(name).Update(int64(value))
+	}
+}
+
+// Why explains. The asked entry asks the others too, and works out again what
+// none of them has kept.
+func (s *server) Why(ctx context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
+	leave, err := s.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	reply := &wire.WhyReply{}
+	switch r.Matter {
+	case "flow":
+		s.whyFlow(ctx, r, reply)
+	case "request":
+		reply.Decisions = s.instance.ring.Find(mostDecisions, func(d *wire.Decision) bool { return d.Subject == r.Target })
+	case "refused":
+		reply.Decisions = s.instance.ring.Find(mostDecisions, refused)
+	default:
+		return nil, fault.New(fault.Usage, "unknown matter %q", r.Matter)
+	}
+	if !r.Local {
+		s.whyElsewhere(ctx, r, reply)
+	}
+	slices.SortStableFunc(reply.Decisions, func(a, b *wire.Decision) int { return int(a.UnixNano/1000 - b.UnixNano/1000) })
+	return reply, nil
+}
+
+func refused(d *wire.Decision) bool {
+	return d.Action == "drop" || d.Action == "reset" || d.Action == "refused" || d.Action == "unknown"
+}
+
+func (s *server) whyElsewhere(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
+	ask := &wire.WhyRequest{Matter: r.Matter, Source: r.Source, Target: r.Target, Protocol: r.Protocol, Local: true}
+	for _, other := range s.instance.config.Settings.Instances {
+		if other.Name == s.instance.self.Name {
+			continue
+		}
+		client, err := s.instance.dialer.clientOf(ctx, other.Control, "operator")
+		if err != nil {
+			reply.Lines = append(reply.Lines, other.Name+" could not be asked: "+err.Error())
+			continue
+		}
+		got, err := client.Why(ctx, ask)
+		if err != nil {
+			reply.Lines = append(reply.Lines, other.Name+" did not answer: "+err.Error())
+			continue
+		}
+		reply.Decisions = append(reply.Decisions, got.Decisions...)
+	}
+}
+
+// whyFlow adds the kept decisions on a flow and, on the asked entry, what it
+// would decide now.
+func (s *server) whyFlow(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
+	subject := r.Protocol + " " + r.Source + " " + r.Target
+	reply.Decisions = s.instance.ring.Find(mostDecisions, func(d *wire.Decision) bool { return d.Subject == subject })
+	answer := make(chan *wire.Decision, 1)
+	query := func(core *entry.Core) {
+		answer <- explain.Recompute(s.instance.now(), s.instance.self.Name, core.Flow(), r)
+	}
+	select {
+	case s.instance.traffic.queries <- query:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case d := <-answer:
+		if d != nil {
+			reply.Decisions = append(reply.Decisions, d)
+		}
+	case <-ctx.Done():
+	}
+}
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -49,6 +49,7 @@
 	Endpoint struct {
 		Name        string         `json:"name"`
 		Address     netip.AddrPort `json:"address"`
+		Health      netip.AddrPort `json:"health,omitzero"`
 		Domain      string         `json:"domain"`
 		Slots       int            `json:"slots"`
 		Connections int            `json:"connections"`
--- /dev/null
+++ b/internal/intent/intent_test.go
@@ -0,0 +1,54 @@
+package intent
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"oxbowsaddle/examples"
+)
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, user := range []string{"visa", "qasr"} {
+		g := gomega.NewWithT(t)
+		data, err := examples.Files.ReadFile(user + "/intent.jsonc")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		objects, err := ParseFile(data)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		d, err := ReadDocument(objects)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(d.Check()).To(gomega.BeEmpty())
+	}
+}
+
+func TestUnknownFieldsAreFaults(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := ParseFile([]byte(`{"servces": {}}`))
+	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("servces")))
+	d := NewDocument()
+	g.Expect(d.Put(KindTeam, "a", []byte(`{"colour": 1}`))).NotTo(gomega.Succeed())
+}
+
+func TestWarningsNameAnEmptiedService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	before, after := NewDocument(), NewDocument()
+	one := `{"classes":[],"endpoints":[{"name":"a","address":"127.0.0.1:1","domain":"d","slots":1,"connections":1%s}]}`
+	g.Expect(before.Put(KindService, "s", fmt.Appendf(nil, one, ""))).To(gomega.Succeed())
+	g.Expect(after.Put(KindService, "s", fmt.Appendf(nil, one, `,"leaving":true`))).To(gomega.Succeed())
+	g.Expect(Warnings(before, after)).To(gomega.HaveLen(1))
+	g.Expect(Warnings(after, after)).To(gomega.BeEmpty())
+}
+
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte(`{"teams": {"a": {"template": "t", "services": []}}} // end`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		objects, err := ParseFile(data)
+		if err != nil {
+			return
+		}
+		if d, err := ReadDocument(objects); err == nil {
+			d.Check()
+		}
+	})
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -87,6 +87,9 @@
 // Stopped makes the next beat the last: everything is handed over.
 func (c *Core) Stopped() { c.stopped = true }
 
+// HasStopped reports whether the last beat was announced.
+func (c *Core) HasStopped() bool { return c.stopped }
+
 // Steps returns the last tables at which the entries changed, in order.
 func (c *Core) Steps() []*route.Table { return c.steps }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -39,6 +39,7 @@
 		service     uint32
 		name        string
 		addr        netip.AddrPort
+		health      netip.AddrPort
 		domain      string
 		slots       int
 		connections int
@@ -50,6 +51,7 @@
 		ID, Service uint32
 		Name        string
 		Addr        netip.AddrPort
+		Health      netip.AddrPort // not valid where nothing answers
 		Domain      string
 		Slots       int // requests it runs at a time
 		Connections int // flows it holds at most
@@ -144,7 +146,7 @@
 
 // NewEndpoint returns an endpoint.
 func NewEndpoint(c EndpointConfig) *Endpoint {
-	return &Endpoint{c.ID, c.Service, c.Name, c.Addr, c.Domain, c.Slots, c.Connections, c.Leaving}
+	return &Endpoint{c.ID, c.Service, c.Name, c.Addr, c.Health, c.Domain, c.Slots, c.Connections, c.Leaving}
 }
 
 // ID returns the number that names the endpoint for ever.
@@ -159,6 +161,9 @@
 // Addr returns the address that takes Geneve for the endpoint.
 func (e *Endpoint) Addr() netip.AddrPort { return e.addr }
 
+// Health returns where the backend server tells how the endpoint is.
+func (e *Endpoint) Health() netip.AddrPort { return e.health }
+
 // Domain returns the failure domain of the backend server.
 func (e *Endpoint) Domain() string { return e.domain }
 
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/work"
+)
+
+const (
+	healthLag    = 500 * time.Millisecond
+	coldFactor   = 3
+	blockBytes   = 256
+	blockSize256 = 4 // SZX of RFC 7959 for blocks of 256 bytes
+)
+
+type (
+	// BackendConfig is what a Backend is made from.
+	BackendConfig struct {
+		Name        string
+		Service     string
+		Addr        netip.AddrPort
+		HealthAddr  netip.AddrPort
+		Addresses   []netip.AddrPort // of the service's classes
+		Slots       int
+		Connections int
+		ServiceTime time.Duration
+		Cold        time.Duration // it is slow so long after its start
+		Blocks      uint32        // of a block-wise answer; 0 is one message
+		Pick        func() (netip.AddrPort, bool)
+		Ledger      *Ledger
+		Now         func() time.Time
+	}
+
+	// Backend is one endpoint of a backend server. It takes Geneve, accepts
+	// flows, runs requests in slots, refuses what is above them, obeys
+	// cancellation and deadlines, and tells its health with a lag.
+	Backend struct {
+		config  BackendConfig
+		conn    *net.UDPConn
+		http    *http.Server
+		encoder *packet.Encoder
+		began   time.Time
+		mu      sync.Mutex
+		flows   map[packet.Tuple]bool
+		running map[string]*time.Timer
+		seen    map[string]bool // CoAP message ids, RFC 7252 section 4.5
+		lying   bool
+		told    healthAnswer
+		toldAt  time.Time
+	}
+
+	healthAnswer struct {
+		Healthy     bool `json:"healthy"`
+		Leaving     bool `json:"leaving"`
+		Shedding    bool `json:"shedding"`
+		Connections int  `json:"connections"`
+		Running     int  `json:"running"`
+	}
+)
+
+// NewBackend opens the sockets of an endpoint.
+func NewBackend(c BackendConfig) (*Backend, error) {
+	conn, err := listenUDP(c.Addr)
+	if err != nil {
+		return nil, err
+	}
+	encoder, err := packet.NewEncoder()
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	b := &Backend{
+		config: c, conn: conn, encoder: encoder, began: c.Now(), flows: map[packet.Tuple]bool{},
+		running: map[string]*time.Timer{}, seen: map[string]bool{},
+	}
+	listener, err := net.Listen("tcp", c.HealthAddr.String())
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", b.health)
+	b.config.HealthAddr = netip.MustParseAddrPort(listener.Addr().String())
+	b.http = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = b.http.Serve(listener) }()
+	go b.run()
+	return b, nil
+}
+
+// Name returns the endpoint's name.
+func (b *Backend) Name() string { return b.config.Name }
+
+// Addr returns where it takes Geneve.
+func (b *Backend) Addr() netip.AddrPort { return localAddr(b.conn) }
+
+// HealthAddr returns where it tells its health.
+func (b *Backend) HealthAddr() netip.AddrPort { return b.config.HealthAddr }
+
+// Flows returns how many flows it holds.
+func (b *Backend) Flows() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.flows)
+}
+
+// Lie makes its health endpoint tell that it is down and idle.
+func (b *Backend) Lie(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lying = on
+}
+
+// Close ends the endpoint.
+func (b *Backend) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return errors.Join(b.conn.Close(), b.http.Shutdown(ctx))
+}
+
+// health answers with what was true a while ago.
+func (b *Backend) health(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	now := b.config.Now()
+	if now.Sub(b.toldAt) > healthLag {
+		b.toldAt = now
+		b.told = healthAnswer{Healthy: true, Connections: len(b.flows), Running: len(b.running)}
+	}
+	answer := b.told
+	if b.lying {
+		answer = healthAnswer{}
+	}
+	b.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (b *Backend) run() {
+	var d packet.Decoder
+	var p packet.Packet
+	buffer := make([]byte, packetSize)
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || d.Decode(buffer[:n], &p) != packet.Decoded {
+			continue
+		}
+		if !b.mine(p.Tuple().Dst()) {
+			b.config.Ledger.misdelivered()
+			continue
+		}
+		if p.Tuple().Transport() == packet.TCP {
+			seq, _ := d.TCPSequence()
+			b.takeFlow(&p, seq)
+		} else {
+			b.takeWork(p.Clone())
+		}
+	}
+}
+
+func (b *Backend) mine(addr netip.AddrPort) bool {
+	for _, a := range b.config.Addresses {
+		if a == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// takeFlow answers a TCP packet; data is echoed, so that the caller can check
+// that the whole answer to its own request came.
+func (b *Backend) takeFlow(p *packet.Packet, seq uint32) {
+	b.mu.Lock()
+	held := b.flows[p.Tuple()]
+	full := len(b.flows) >= b.config.Connections
+	answer := packet.NewFlags(false, true, false, false)
+	switch {
+	case p.Flags().Opens() && (held || !full):
+		if !held {
+			b.config.Ledger.opened(b.config.Name)
+		}
+		b.flows[p.Tuple()] = true
+		answer = packet.NewFlags(true, true, false, false)
+	case p.Flags().Opens():
+		b.config.Ledger.overfull()
+		answer = packet.NewFlags(false, true, false, true)
+	case held && p.Flags().Ends():
+		delete(b.flows, p.Tuple())
+		answer = packet.NewFlags(false, true, true, false)
+	case !held:
+		if p.Flags().Ends() {
+			answer = packet.NewFlags(false, true, true, false) // a repeated FIN
+		} else {
+			answer = packet.NewFlags(false, true, false, true)
+		}
+	}
+	b.mu.Unlock()
+	inner, err := packet.Build(p.Tuple().Reverse(), answer, 1, seq+1, p.Payload())
+	if err == nil {
+		b.send(inner)
+	}
+}
+
+func (b *Backend) send(inner []byte) {
+	if to, ok := b.config.Pick(); ok {
+		_, _ = b.conn.WriteToUDPAddrPort(b.encoder.AppendPlain(nil, inner), to)
+	}
+}
+
+// takeWork runs a request in a slot, or refuses it before it begins.
+func (b *Backend) takeWork(p *packet.Packet) {
+	m, err := work.Decode(p.Payload())
+	if err != nil {
+		return
+	}
+	key := p.Tuple().Src().String() + string(m.Token)
+	if m.IsReset() {
+		b.cancel(p.Tuple().Src(), m.MessageID)
+		return
+	}
+	if !m.IsRequest() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := messageName(p.Tuple().Src(), m.MessageID)
+	if b.seen[id+string(m.Token)] {
+		return
+	}
+	if len(b.running) >= b.config.Slots {
+		b.config.Ledger.refusedBy(b.config.Name)
+		b.answer(p.Tuple(), m, codes.ServiceUnavailable, "no slot", 0)
+		return
+	}
+	b.seen[id+string(m.Token)] = true
+	b.config.Ledger.ran(m.Token, b.config.Name)
+	took := b.config.ServiceTime
+	if b.config.Now().Sub(b.began) < b.config.Cold {
+		took *= coldFactor
+	}
+	if left, said := m.Left(); said {
+		took = min(took, left)
+	}
+	block, _ := m.Block()
+	b.running[key] = time.AfterFunc(took, func() { b.finish(p.Tuple(), m, key, block) })
+}
+
+func messageName(caller netip.AddrPort, id int32) string {
+	return caller.String() + string([]byte{byte(id >> 8), byte(id)})
+}
+
+func (b *Backend) finish(t packet.Tuple, m work.Message, key string, block uint32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.running[key] == nil {
+		return
+	}
+	delete(b.running, key)
+	text := "done " + string(m.Token)
+	if b.config.Blocks > 0 && m.Code == codes.GET {
+		text += string(make([]byte, blockBytes-len(text)))
+	}
+	b.answer(t, m, codes.Content, text, block)
+}
+
+// cancel frees the slot of a request; the message id names it.
+func (b *Backend) cancel(caller netip.AddrPort, _ int32) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, timer := range b.running {
+		if len(key) > len(caller.String()) && key[:len(caller.String())] == caller.String() {
+			timer.Stop()
+			delete(b.running, key)
+			b.config.Ledger.cancelled()
+		}
+	}
+}
+
+func (b *Backend) answer(t packet.Tuple, m work.Message, code codes.Code, text string, block uint32) {
+	answer := work.Message{Message: message.Message{
+		Token: m.Token, Code: code, Type: message.NonConfirmable, MessageID: m.MessageID, Payload: []byte(text),
+	}}
+	if code == codes.Content && b.config.Blocks > 0 && m.Code == codes.GET {
+		more := uint32(0)
+		if block+1 < b.config.Blocks {
+			more = 1 << 3
+		}
+		answer = answer.WithBlock(block<<4 | more | blockSize256)
+	}
+	data, err := answer.Encode()
+	if err != nil {
+		return
+	}
+	if inner, err := packet.Build(t.Reverse(), packet.Flags{}, 0, 0, data); err == nil {
+		b.send(inner)
+	}
+}
--- /dev/null
+++ b/internal/standin/fabric.go
@@ -0,0 +1,156 @@
+// Package standin holds small stand-ins of what the system serves: a fabric
+// that sprays packets at random, backend servers, and callers of each kind of
+// traffic. They count what they see themselves and decide nothing.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"oxbowsaddle/internal/packet"
+)
+
+const (
+	packetSize  = 9216
+	socketBytes = 4 << 20
+)
+
+type (
+	// Fabric hands packets of callers to entries at random, and answers that
+	// entries send it to the callers.
+	Fabric struct {
+		conn    *net.UDPConn
+		encoder *packet.Encoder
+		mu      sync.Mutex
+		rng     *rand.Rand
+		entries map[string]netip.AddrPort
+		order   []netip.AddrPort
+		callers map[netip.AddrPort]func(*packet.Packet)
+	}
+)
+
+// NewFabric opens the fabric's socket on loopback.
+func NewFabric(addr netip.AddrPort, seed uint64) (*Fabric, error) {
+	conn, err := listenUDP(addr)
+	if err != nil {
+		return nil, err
+	}
+	encoder, err := packet.NewEncoder()
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	f := &Fabric{
+		conn: conn, encoder: encoder, rng: rand.New(rand.NewPCG(seed, 5)),
+		entries: map[string]netip.AddrPort{}, callers: map[netip.AddrPort]func(*packet.Packet){},
+	}
+	go f.run()
+	return f, nil
+}
+
+func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("stand-in socket: %w", err)
+	}
+	if err := errors.Join(conn.SetReadBuffer(socketBytes), conn.SetWriteBuffer(socketBytes)); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return conn, nil
+}
+
+// Addr returns the address that entries send answers to.
+func (f *Fabric) Addr() netip.AddrPort { return localAddr(f.conn) }
+
+func localAddr(conn *net.UDPConn) netip.AddrPort {
+	addr, ok := conn.LocalAddr().(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	a := addr.AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Close closes the socket.
+func (f *Fabric) Close() error { return f.conn.Close() }
+
+// AddEntry lets the fabric hand packets to an entry.
+func (f *Fabric) AddEntry(name string, addr netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[name] = addr
+	f.reorder()
+}
+
+// RemoveEntry ends that.
+func (f *Fabric) RemoveEntry(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.entries, name)
+	f.reorder()
+}
+
+func (f *Fabric) reorder() {
+	f.order = f.order[:0]
+	for _, addr := range f.entries {
+		f.order = append(f.order, addr)
+	}
+}
+
+// Pick returns an entry at random, as the fabric would.
+func (f *Fabric) Pick() (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.order) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.order[f.rng.IntN(len(f.order))], true
+}
+
+// Attach names the receiver of packets to a caller's address.
+func (f *Fabric) Attach(caller netip.AddrPort, take func(*packet.Packet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.callers[caller] = take
+}
+
+// Detach ends that.
+func (f *Fabric) Detach(caller netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.callers, caller)
+}
+
+// Send hands a caller's packet to an entry at random.
+func (f *Fabric) Send(inner []byte) {
+	to, ok := f.Pick()
+	if !ok {
+		return
+	}
+	// A datagram that cannot be sent is lost, as in any network.
+	_, _ = f.conn.WriteToUDPAddrPort(f.encoder.AppendPlain(nil, inner), to)
+}
+
+func (f *Fabric) run() {
+	var d packet.Decoder
+	var p packet.Packet
+	buffer := make([]byte, packetSize)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || d.Decode(buffer[:n], &p) != packet.Decoded {
+			continue
+		}
+		f.mu.Lock()
+		take := f.callers[p.Tuple().Dst()]
+		f.mu.Unlock()
+		if take != nil {
+			take(p.Clone())
+		}
+	}
+}
--- a/internal/work/message.go
+++ b/internal/work/message.go
@@ -147,3 +147,13 @@
 	}
 	return packet.Build(t, packet.Flags{}, 0, 0, data)
 }
+
+// WithBlock returns the message with a Block2 option of this raw value.
+func (m Message) WithBlock(value uint32) Message { return m.withUint(message.Block2, value) }
+
+// MoreBlocks reports whether more blocks follow the one in an answer.
+func (m Message) MoreBlocks() bool {
+	const moreBit = 1 << 3
+	value, err := m.Options.GetUint32(message.Block2)
+	return err == nil && value&moreBit != 0
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,10 @@
+// Oxbowsaddle is a layer-4 load balancer; see README.md.
+package main
+
+import (
+	"os"
+
+	"oxbowsaddle/internal/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
