--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -138,10 +138,16 @@
 }
 
 func (s *State) applyBody(b *route.Builder, c *wire.Command) Answer {
-	now := time.Unix(0, c.UnixNano)
+	if change := c.GetChange(); change != nil {
+		return s.applyChange(b, time.Unix(0, c.UnixNano), change)
+	}
+	s.applyDecision(b, c)
+	return Answer{Outcome: Accepted, Revision: s.revision}
+}
+
+// applyDecision applies what the controller has decided.
+func (s *State) applyDecision(b *route.Builder, c *wire.Command) {
 	switch body := c.Body.(type) {
-	case *wire.Command_Change:
-		return s.applyChange(b, now, body.Change)
 	case *wire.Command_Moves:
 		for _, m := range body.Moves.Moves {
 			b.Move(m.Service, m.Bucket, m.Endpoint)
@@ -160,23 +166,26 @@
 			b.Reopen(body.Reopen.Service, bucket)
 		}
 	case *wire.Command_Members:
-		for _, m := range body.Members.Joined {
-			joined := s.index
-			if old, listed := b.Table().Member(m.Name); listed && old.Incarnation() == m.Incarnation {
-				joined = old.JoinedAt()
-			}
-			b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving, joined))
-		}
-		for _, name := range body.Members.Left {
-			b.LoseMember(name)
-		}
-		for _, name := range body.Members.Stopped {
-			b.RemoveMember(name)
-		}
+		s.applyMembers(b, body.Members)
 	case *wire.Command_Suspect:
 		markSuspect(b, body.Suspect)
 	}
-	return Answer{Outcome: Accepted, Revision: s.revision}
+}
+
+func (s *State) applyMembers(b *route.Builder, change *wire.Members) {
+	for _, m := range change.Joined {
+		joined := s.index
+		if old, listed := b.Table().Member(m.Name); listed && old.Incarnation() == m.Incarnation {
+			joined = old.JoinedAt()
+		}
+		b.PutMember(route.NewMember(m.Name, m.Domain, m.Incarnation, m.Leaving, joined))
+	}
+	for _, name := range change.Left {
+		b.LoseMember(name)
+	}
+	for _, name := range change.Stopped {
+		b.RemoveMember(name)
+	}
 }
 
 func markSuspect(b *route.Builder, m *wire.Suspect) {
--- a/internal/controller/transition.go
+++ b/internal/controller/transition.go
@@ -81,22 +81,9 @@
 	if t.MovedAt > k.active {
 		return doNothing
 	}
-	f := k.open[key]
-	if f == nil || f.movedAt != t.MovedAt {
-		f = &transition{movedAt: t.MovedAt}
-		k.open[key] = f
-	}
-	if f.quiet.IsZero() {
-		f.quiet = now
-	}
+	f := k.follow(now, key, t)
 	if k.pastDeadline(now, s, t) {
-		switch {
-		case !t.Flipped():
-			return doFlip
-		case t.FlipActive(k.active):
-			return doForce
-		}
-		return doNothing
+		return k.force(t)
 	}
 	flows, pending, counted := k.rows(now, key, t.MovedAt)
 	if !counted || flows > 0 {
@@ -116,6 +103,30 @@
 	return doNothing
 }
 
+// follow returns what is followed of a bucket, begun anew when it has moved.
+func (k *Controller) follow(now time.Time, key bucketKey, t route.Transition) *transition {
+	f := k.open[key]
+	if f == nil || f.movedAt != t.MovedAt {
+		f = &transition{movedAt: t.MovedAt}
+		k.open[key] = f
+	}
+	if f.quiet.IsZero() {
+		f.quiet = now
+	}
+	return f
+}
+
+// force ends a transition whose deadline has passed, in the same two steps.
+func (k *Controller) force(t route.Transition) judgement {
+	switch {
+	case !t.Flipped():
+		return doFlip
+	case t.FlipActive(k.active):
+		return doForce
+	}
+	return doNothing
+}
+
 // rows sums up what the entries with a lease have reported of a bucket.
 func (k *Controller) rows(now time.Time, key bucketKey, movedAt uint64) (flows, pending uint32, counted bool) {
 	counted = k.allCounted(now, movedAt)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -24,8 +24,6 @@
 	"oxbowsaddle/internal/wire"
 )
 
-const spareEndpoints = 2 // that can join while traffic flows
-
 type (
 	// Config sets up a run.
 	Config struct {
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -231,7 +231,7 @@
 	if p.Flags().Opens() && len(e.view.Table.Returned()) == 0 {
 		return e.newFlow(now, v, p, t, second)
 	}
-	if e.complete(v) && !(v.isUDP(p) && !t.Flipped()) {
+	if e.complete(v) && (!v.isUDP(p) || t.Flipped()) {
 		return e.forward(now, v, p, t.Default, ByDefault)
 	}
 	return e.ask(now, v, p)
@@ -277,9 +277,14 @@
 
 // store keeps the decision of a bucket's owner and passes the packet on.
 func (e *Engine) store(now time.Time, v Verdict, p *packet.Packet, relay packet.Relay) Verdict {
-	if s := e.flows.get(v.id); s != nil && s.endpoint != relay.Endpoint() && s.state != stateClosing {
-		// This entry has seen the flow elsewhere already; that place is the truth.
-		return e.forward(now, v, p, s.endpoint, ByCache)
+	if s := e.flows.get(v.id); s != nil && s.endpoint != relay.Endpoint() && e.outweighs(now, s) {
+		// This entry has seen the flow elsewhere already; that place is the
+		// truth, and the owner must hear of it.
+		got := e.forward(now, v, p, s.endpoint, ByCache)
+		if got.endpoint != nil {
+			e.announceAccepted(got)
+		}
+		return got
 	}
 	if !e.keep(now, v, relay.Endpoint()) {
 		return Verdict{action: Drop, reason: RecordLimit, service: v.service, bucket: v.bucket, id: v.id}
@@ -287,6 +292,22 @@
 	return e.forward(now, v, p, relay.Endpoint(), ByRecord)
 }
 
+// outweighs reports whether what this entry has seen of a flow counts more
+// than its owner's decision on a SYN: the flow is open, or its SYN was sent on
+// just now and this one is its double. After a longer time the SYN comes again
+// because no answer came from where it went.
+func (e *Engine) outweighs(now time.Time, s *slot) bool {
+	const doubleWithin = 1 // tick
+	switch s.state {
+	case stateOpen:
+		return true
+	case stateOpening:
+		return e.flows.ticks(now)-s.seen <= doubleWithin
+	default:
+		return false
+	}
+}
+
 // relayTo sends a packet to the entry that decides on it.
 func (e *Engine) relayTo(v Verdict, p *packet.Packet, peer string, reason Reason) Verdict {
 	relay, relayed := p.Relay()
--- a/internal/instance/traffic.go
+++ b/internal/instance/traffic.go
@@ -283,7 +283,8 @@
 	sample := uint64(t.instance.config.Settings.Limits.SampleOneIn)
 	opens := p.Flags().Opens() && !answer
 	sampled := v.ID().Low%sample == 0 && v.Service() != nil
-	if !explain.KeepsAlways(v) && (!opens || !sampled) && !(opens && v.Reason() != flow.BySettled) {
+	unusual := explain.KeepsAlways(v) || opens && v.Reason() != flow.BySettled
+	if !unusual && (!opens || !sampled) {
 		return
 	}
 	tuple := p.Tuple()
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -24,7 +24,7 @@
 }
 
 // start begins a life with empty memory.
-func (w *World) start(name, domain string) *instance {
+func (w *World) start(name, domain string) {
 	incarnation := uint64(1)
 	if old := w.entries[name]; old != nil {
 		incarnation = old.incarnation + 1
@@ -58,7 +58,6 @@
 	e.loop(beatEvery, e.beat)
 	e.loop(probeEvery, e.probe)
 	e.beat()
-	return e
 }
 
 // loop runs something again and again while this life lasts; a pause delays it.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"oxbowsaddle/internal/control"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -51,9 +50,9 @@
 	return []byte(body + "]}")
 }
 
-func (w *World) change() control.Answer {
+func (w *World) change() {
 	w.changes++
-	return w.commit(&wire.Command{Body: &wire.Command_Change{Change: &wire.Change{
+	w.commit(&wire.Command{Body: &wire.Command_Change{Change: &wire.Change{
 		Id: fmt.Sprint("change-", w.changes), Author: "soak", Base: w.state.Revision(),
 		Objects: w.services(),
 	}}})
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -30,16 +30,26 @@
 	endpoint := w.rng.IntN(w.config.Endpoints)
 	kind := w.rng.IntN(13)
 	w.note("fault %d instance %s endpoint %d", kind, name, endpoint)
+	const mostEndpoints = 12
 	switch kind {
 	case 0, 1:
 		w.Drain(endpoint)
 	case 2, 3:
 		w.Undrain(endpoint)
 	case 4:
-		const most = 12
-		if w.config.Endpoints < most {
+		if w.config.Endpoints < mostEndpoints {
 			w.Join()
 		}
+	case 10:
+		w.DrainDesk(endpoint)
+	default:
+		w.faultOf(kind, name)
+	}
+}
+
+// faultOf lets something happen to an entry or its domain.
+func (w *World) faultOf(kind int, name string) {
+	switch kind {
 	case 5:
 		if w.alive() > 5 {
 			w.Kill(name)
@@ -54,16 +64,19 @@
 		w.Pause(name, time.Duration(w.rng.IntN(5000))*time.Millisecond)
 	case 9:
 		w.Cut(w.entries[name].domain, true)
-	case 10:
-		w.DrainDesk(endpoint)
 	case 11, 12:
-		for domain := range w.config.Domains {
-			w.Cut(fmt.Sprintf("d%d", domain), false)
-		}
-		for _, n := range w.names {
-			if !w.entries[n].alive && w.rng.IntN(2) == 0 {
-				w.Restart(n)
-			}
+		w.mendSome()
+	}
+}
+
+// mendSome joins the domains again and starts half of the dead entries.
+func (w *World) mendSome() {
+	for domain := range w.config.Domains {
+		w.Cut(fmt.Sprintf("d%d", domain), false)
+	}
+	for _, n := range w.names {
+		if !w.entries[n].alive && w.rng.IntN(2) == 0 {
+			w.Restart(n)
 		}
 	}
 }
--- a/internal/work/engine.go
+++ b/internal/work/engine.go
@@ -111,7 +111,7 @@
 	}
 	id := e.config.Hasher.Request(tuple, m.Token)
 	if r := o.requests[id]; r != nil {
-		e.duplicate(o, r, tuple, m)
+		e.duplicate(r, tuple, m)
 		return
 	}
 	if m.Type == message.Confirmable {
@@ -162,7 +162,7 @@
 
 // duplicate answers a request that is known: the same answer again, or none
 // yet. It never dispatches anything.
-func (e *Engine) duplicate(o *ownership, r *request, tuple packet.Tuple, m Message) {
+func (e *Engine) duplicate(r *request, tuple packet.Tuple, m Message) {
 	e.stats.Duplicates++
 	switch {
 	case r.state == Lost:
