Flows: a repeated SYN goes by the second holder again

Change: the owner caches nothing at a SYN, and a SYN with a record goes by the second holder each time.

--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -110,7 +110,7 @@
 	}
 	if r, ok := e.records[id]; ok {
 		if !e.reused(now, p, r) {
-			return e.forward(now, v, p, r.endpoint, ByRecord)
+			return e.fromRecord(now, v, p, r)
 		}
 		e.announceReuse(v)
 	}
@@ -267,7 +267,6 @@
 		e.tell(bucketKey{v.service.ID(), v.bucket}, v.id, endpoint)
 		return e.forward(now, v, p, endpoint, ByNew)
 	}
-	e.cache(now, v, p, endpoint, true)
 	previous, _ := p.Relay()
 	v.relay = packet.NewRelay(packet.RelayStore, endpoint, e.view.Table.Index(), 0).After(previous)
 	v.action, v.reason, v.peer = Relay, ToSecond, second
@@ -275,6 +274,16 @@
 	return v
 }
 
+// fromRecord decides by a record. A SYN that comes again to the owner goes by
+// the second holder again, which may not have got the first one.
+func (e *Engine) fromRecord(now time.Time, v Verdict, p *packet.Packet, r record) Verdict {
+	owner, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
+	if p.Flags().Opens() && owner == e.config.Self && now.Before(e.view.LeaseUntil) {
+		return e.recordNew(now, v, p, r.endpoint, second)
+	}
+	return e.forward(now, v, p, r.endpoint, ByRecord)
+}
+
 // store keeps the decision of a bucket's owner and passes the packet on.
 func (e *Engine) store(now time.Time, v Verdict, p *packet.Packet, relay packet.Relay) Verdict {
 	if s := e.flows.get(v.id); s != nil && s.endpoint != relay.Endpoint() && e.outweighs(now, s) {
