Work and flows: no substitute second holder; what a lost domain knew is lost

Cause: (soak 87) an owner that could not reach its second holder used another one, while the first still took itself for complete and ran a request again; (soak 19) flows of a cut domain whose entries restarted were guessed at. Change: the second holder is the next in rank or none; its completeness ends with the rank. A domain that is back without its former lives is marked bereft: unknown flows are reset, not guessed, until one idle limit is over. A silent second holder costs up to one lease of waiting.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -20,7 +20,7 @@
 	w := &wire.State{
 		Index: s.index, Revision: s.revision, Checksum: s.checksum,
 		NextEndpoint: s.nextID, NextService: s.nextSvc,
-		History: s.history, LossIndex: s.table.LossIndex(), Cut: s.table.Cut(), Returned: s.table.Returned(),
+		History: s.history, LossIndex: s.table.LossIndex(), Cut: s.table.Cut(), Returned: s.table.Returned(), Bereft: s.table.Bereft(),
 	}
 	for _, key := range sortedObjects(s.objects) {
 		w.Objects = append(w.Objects, s.objects[key])
@@ -125,6 +125,9 @@
 	for _, d := range w.Returned {
 		b.MarkReturned(d)
 	}
+	for _, d := range w.Bereft {
+		b.MarkBereft(d)
+	}
 	b.RestoreLoss(w.LossIndex)
 	s.table = b.Table()
 	return nil
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -192,6 +192,8 @@
 	switch {
 	case m.Cleared:
 		b.MarkCleared(m.Domain)
+	case m.Lost:
+		b.MarkBereft(m.Domain)
 	case m.Returned:
 		b.MarkReturned(m.Domain)
 	default:
--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -166,6 +166,6 @@
 		m := &wire.Members{Joined: []*wire.Member{{Name: fmt.Sprint("e", i%3), Domain: "plateau", Incarnation: uint64(i)}}, Left: []string{fmt.Sprint("e", i%2)}}
 		return &wire.Command{Body: &wire.Command_Members{Members: m}}
 	default:
-		return &wire.Command{Body: &wire.Command_Suspect{Suspect: &wire.Suspect{Domain: "plateau", Returned: i%2 == 0, Cleared: i%3 == 0}}}
+		return &wire.Command{Body: &wire.Command_Suspect{Suspect: &wire.Suspect{Domain: "plateau", Returned: i%2 == 0, Cleared: i%3 == 0, Lost: i%5 == 0}}}
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,7 +75,8 @@
 		joining    map[string]*wire.Member
 		stopping   map[string]bool // entries that have said their last word
 		returned   map[string]*comeback
-		cutOff     map[string][]string // entries that a domain had when it was lost
+		cutOff     map[string]map[string]uint64 // the lives of a domain's entries when it was lost
+		bereft     map[string]time.Time         // since when
 		open       map[bucketKey]*transition
 		assessor   *health.Assessor
 		planned    map[uint32]plan
@@ -88,7 +89,7 @@
 func New(c Config, now time.Time, state *control.State, startIndex uint64) *Controller {
 	k := &Controller{
 		config: c, state: state, startIndex: startIndex,
-		members: map[string]*member{}, joining: map[string]*wire.Member{}, stopping: map[string]bool{}, returned: map[string]*comeback{}, cutOff: map[string][]string{},
+		members: map[string]*member{}, joining: map[string]*wire.Member{}, stopping: map[string]bool{}, returned: map[string]*comeback{}, cutOff: map[string]map[string]uint64{}, bereft: map[string]time.Time{},
 		open: map[bucketKey]*transition{}, planned: map[uint32]plan{},
 		assessor: health.New(c.Health, now),
 	}
@@ -191,6 +192,7 @@
 	var commands []*wire.Command
 	commands = append(commands, k.membership(now)...)
 	commands = append(commands, k.returning(now)...)
+	commands = append(commands, k.mourning(now)...)
 	commands = append(commands, k.transitions(now)...)
 	if now.Sub(k.lastPlace) >= k.config.PlaceEvery {
 		k.lastPlace = now
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"oxbowsaddle/internal/route"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 		}
 		if !alive[m.Domain()] && !m.Leaving() && !slices.Contains(k.state.Table().Cut(), m.Domain()) {
 			alive[m.Domain()] = true // marked once
-			k.cutOff[m.Domain()] = k.namesIn(m.Domain())
+			k.cutOff[m.Domain()] = k.livesIn(m.Domain())
 			delete(k.returned, m.Domain())
 			commands = append(commands, suspect(&wire.Suspect{Domain: m.Domain()}))
 		}
@@ -60,14 +61,15 @@
 	return m.leaseUntil
 }
 
-func (k *Controller) namesIn(domain string) []string {
-	var names []string
+// livesIn returns the incarnations of a domain's entries by name.
+func (k *Controller) livesIn(domain string) map[string]uint64 {
+	lives := map[string]uint64{}
 	for _, m := range k.state.Table().Members() {
 		if m.Domain() == domain {
-			names = append(names, m.Name())
+			lives[m.Name()] = m.Incarnation()
 		}
 	}
-	return names
+	return lives
 }
 
 func joins(change *wire.Members, name string) bool {
@@ -122,7 +124,8 @@
 		if len(commands) > 0 || back.openedAt == 0 {
 			back.openedAt = k.state.Index() + uint64(len(commands))
 		} else if k.active >= back.openedAt {
-			commands = append(commands, suspect(&wire.Suspect{Domain: d, Cleared: true}))
+			whole := k.sameLives(d)
+			commands = append(commands, suspect(&wire.Suspect{Domain: d, Cleared: whole, Lost: !whole}))
 		}
 	}
 	return commands
@@ -143,15 +146,48 @@
 // allBack reports whether every entry that a domain had when it was lost is
 // listed again. Under a leader that did not see the loss it cannot be known.
 func (k *Controller) allBack(domain string) bool {
-	names, known := k.cutOff[domain]
-	for _, n := range names {
-		if _, listed := k.state.Table().Member(n); !listed {
+	lives, known := k.cutOff[domain]
+	for name := range lives {
+		if _, listed := k.state.Table().Member(name); !listed {
 			return false
 		}
 	}
 	return known
 }
 
+// sameLives reports whether all of them live the life that they had then.
+func (k *Controller) sameLives(domain string) bool {
+	lives, known := k.cutOff[domain]
+	for name, incarnation := range lives {
+		if m, listed := k.state.Table().Member(name); !listed || m.Incarnation() != incarnation {
+			return false
+		}
+	}
+	return known
+}
+
+// mourning ends the doubt about what lost entries of a cut domain knew: after
+// one idle limit every flow of theirs has been reset or is over.
+func (k *Controller) mourning(now time.Time) []*wire.Command {
+	domains := k.state.Table().Bereft()
+	if len(domains) == 0 {
+		clear(k.bereft)
+		return nil
+	}
+	var idle time.Duration
+	k.state.Table().Services(func(s *route.Service) { idle = max(idle, s.Policy().Idle) })
+	var commands []*wire.Command
+	for _, d := range domains {
+		since, known := k.bereft[d]
+		if !known {
+			k.bereft[d] = now
+		} else if now.Sub(since) >= idle+k.config.SettleAfter {
+			commands = append(commands, suspect(&wire.Suspect{Domain: d, Cleared: true}))
+		}
+	}
+	return commands
+}
+
 // reopen returns commands that open the settled buckets of which an entry
 // still sees flows on another endpoint.
 func (k *Controller) reopen() []*wire.Command {
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -163,6 +163,10 @@
 	case p.Flags().Opens():
 		_, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
 		return e.newFlow(now, v, p, t, second)
+	case whole && !e.view.Island && e.onlyBereft():
+		// Everyone who will ever come back was asked.
+		v.action, v.reason = Reset, NobodyKnows
+		return v
 	case e.view.Island || e.view.Table.Suspect():
 		v.action, v.reason = Drop, WithheldCut // an entry that was not asked may hold the flow
 		return v
@@ -180,6 +184,12 @@
 	}
 }
 
+// onlyBereft reports whether the one doubt is about what was lost for good.
+func (e *Engine) onlyBereft() bool {
+	t := e.view.Table
+	return len(t.Bereft()) > 0 && len(t.Cut())+len(t.Returned()) == 0
+}
+
 // expireQuestions gives up questions that were not answered in time.
 func (e *Engine) expireQuestions(now time.Time) {
 	for len(e.asked) > 0 && !now.Before(e.asked[0].deadline) {
--- a/internal/route/builder.go
+++ b/internal/route/builder.go
@@ -188,20 +188,27 @@
 
 // MarkCut notes that a domain was lost whole.
 func (b *Builder) MarkCut(domain string) {
+	b.MarkCleared(domain)
 	b.next.cut = with(b.next.cut, domain)
-	b.next.returned = without(b.next.returned, domain)
 }
 
 // MarkReturned notes that a cut domain can be asked again.
 func (b *Builder) MarkReturned(domain string) {
-	b.next.cut = without(b.next.cut, domain)
+	b.MarkCleared(domain)
 	b.next.returned = with(b.next.returned, domain)
 }
 
+// MarkBereft notes that all can be asked who will ever come back.
+func (b *Builder) MarkBereft(domain string) {
+	b.MarkCleared(domain)
+	b.next.bereft = with(b.next.bereft, domain)
+}
+
 // MarkCleared notes that nothing of a domain is in doubt any more.
 func (b *Builder) MarkCleared(domain string) {
 	b.next.cut = without(b.next.cut, domain)
 	b.next.returned = without(b.next.returned, domain)
+	b.next.bereft = without(b.next.bereft, domain)
 }
 
 func with(list []string, s string) []string {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -300,6 +300,7 @@
 	members   []Member
 	cut       []string // domains that may hold flows which the others cannot ask about
 	returned  []string // domains that are back and can be asked
+	bereft    []string // domains that are back without what their lost entries knew
 	lossIndex uint64   // of the last command that dropped or replaced an entry
 }
 
@@ -383,9 +384,13 @@
 // Returned returns the domains that were cut off and can be asked again.
 func (t *Table) Returned() []string { return t.returned }
 
+// Bereft returns the domains that are back, but without what those of their
+// entries knew that were lost meanwhile.
+func (t *Table) Bereft() []string { return t.bereft }
+
 // LossIndex returns the index at which an entry was last dropped or replaced.
 func (t *Table) LossIndex() uint64 { return t.lossIndex }
 
 // Suspect reports whether flows may exist that the table does not place: the
 // owner then asks its peers before it takes a bucket's endpoint for granted.
-func (t *Table) Suspect() bool { return len(t.cut)+len(t.returned) > 0 }
+func (t *Table) Suspect() bool { return len(t.cut)+len(t.returned)+len(t.bereft) > 0 }
--- a/internal/soak/mix.go
+++ b/internal/soak/mix.go
@@ -94,7 +94,7 @@
 // checkRest asserts that the views have converged and no doubt is left.
 func (w *World) checkRest() {
 	if w.state.Table().Suspect() {
-		w.fault("at rest: cut %v, returned %v", w.state.Table().Cut(), w.state.Table().Returned())
+		w.fault("at rest: cut %v, returned %v, bereft %v", w.state.Table().Cut(), w.state.Table().Returned(), w.state.Table().Bereft())
 	}
 	for _, name := range w.names {
 		e := w.entries[name]
--- a/internal/work/hold.go
+++ b/internal/work/hold.go
@@ -33,13 +33,15 @@
 	}
 )
 
-// chooseSecond picks the second holder: the next in rank that can be reached.
-// A new one is told every key that is alive before it counts as complete.
+// chooseSecond follows the second holder: the next in rank, reachable or not.
+// While it is silent no key is held and nothing is dispatched; another one in
+// its place would leave it to believe, should it take over, that it has every
+// key. A new one is told every key that is alive before it counts as complete.
 func (e *Engine) chooseSecond(o *ownership) {
 	if o.phase != serving {
 		return
 	}
-	next := e.secondOf(o.service)
+	_, next := e.view.rank(o.service)
 	if next == o.second {
 		return
 	}
@@ -60,21 +62,6 @@
 	slices.SortFunc(o.toHold, func(a, b *request) int { return cmp.Or(a.received.Compare(b.received), compareIDs(a.id, b.id)) })
 }
 
-func (e *Engine) secondOf(service uint32) string {
-	_, second := e.view.rank(service)
-	if second == "" || slices.Contains(e.view.Reachable, second) {
-		return second
-	}
-	var rest []route.Member
-	for _, m := range e.view.Table.Members() {
-		if slices.Contains(e.view.Reachable, m.Name()) {
-			rest = append(rest, m)
-		}
-	}
-	first, _ := route.Rank(rest, service, route.WorkBucket)
-	return first
-}
-
 // hold asks the second holder to keep the key of a request.
 func (e *Engine) hold(o *ownership, r *request) {
 	if o.second == "" {
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -164,6 +164,11 @@
 			e.drop(o)
 		}
 	}
+	for service, k := range e.kept {
+		if _, second := e.view.rank(service); second != e.config.Self {
+			k.complete = false // the owner tells another one from here on
+		}
+	}
 }
 
 // inOrder returns the ownerships by service, so that a run can be replayed.
