--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -169,7 +169,7 @@
 	if s.fillLeader(ctx, reply) || r.Forwarded {
 		return reply, nil
 	}
-	s.askLeader(ctx, reply)
+	s.askLeader(ctx, reply, r.History)
 	return reply, nil
 }
 
@@ -205,6 +205,7 @@
 			return
 		}
 		leads = true
+		reply.Revision, reply.Objects = l.state.Revision(), l.state.Objects()
 		reply.LeaderName, reply.Term = s.instance.self.Name, l.replica.Term()
 		reply.Members = nil
 		for _, m := range l.ctl.Status(now) {
@@ -218,7 +219,7 @@
 }
 
 // askLeader adds what the leader knows to the status of another instance.
-func (s *server) askLeader(ctx context.Context, reply *wire.StatusReply) {
+func (s *server) askLeader(ctx context.Context, reply *wire.StatusReply, history bool) {
 	leader, err := s.instance.config.Settings.Instance(reply.LeaderName)
 	if err != nil {
 		return
@@ -227,8 +228,13 @@
 	if err != nil {
 		return
 	}
-	if got, err := client.Status(ctx, &wire.StatusRequest{Forwarded: true}); err == nil {
-		reply.Members, reply.Drains, reply.Commit = got.Members, got.Drains, got.Commit
+	got, err := client.Status(ctx, &wire.StatusRequest{Forwarded: true, History: history})
+	if err != nil {
+		return
+	}
+	reply.Members, reply.Drains, reply.Commit = got.Members, got.Drains, got.Commit
+	if got.Revision >= reply.Revision {
+		reply.Revision, reply.Objects, reply.History = got.Revision, got.Objects, got.History
 	}
 }
 
