--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -43,13 +44,18 @@
 	}
 	kind := fault.KindOf(err)
 	var usage usageError
-	if errors.As(err, &usage) {
+	if errors.As(err, &usage) || isUsage(err) {
 		kind = fault.Usage
 	}
 	fmt.Fprintf(errOut, "oxbowsaddle: %s: %s\nnext: %s\n", kind.Name(), err, kind.Answer().NextStep())
 	return kind.Answer().ExitCode()
 }
 
+// isUsage reports whether the command line library itself refused the line.
+func isUsage(err error) bool {
+	return strings.HasPrefix(err.Error(), "unknown command") || strings.HasPrefix(err.Error(), "required flag")
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use: "oxbowsaddle", Short: "a layer-4 load balancer that keeps flows up and explains itself",
@@ -57,7 +63,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(cmdEntry(), cmdSettings(), cmdAccept(), cmdTeam(), cmdTemplate(), cmdStatus(), cmdHistory(), cmdDiff(), cmdRevert(),
-		cmdWhy(), cmdStats(), cmdDemo(), cmdVersion())
+		cmdWhy(), cmdStats(), cmdDemo(), cmdLoad(), cmdVersion())
 	return root
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -221,13 +221,14 @@
 		c.began = now
 	}
 	lease := c.leaseUntil
-	if now.Sub(c.began) < c.config.Peers.HeardFor {
+	reachable := c.peers.Reachable(now, table)
+	if now.Sub(c.began) < c.config.Peers.HeardFor && len(reachable)+1 < len(table.Members()) {
 		lease = time.Time{} // it has not heard its peers yet: it would share records with nobody
 	}
 	next := &flow.View{
 		Table: table, Steps: c.steps, Active: c.active, LeaseUntil: lease,
 		Island:    c.peers.Island(now, c.leaseUntil, table),
-		Reachable: c.peers.Reachable(now, table),
+		Reachable: reachable,
 		Leased:    c.peers.Leased(now, table),
 		Domains:   c.peers.Domains(now, table),
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -223,7 +224,7 @@
 	if err != nil {
 		return
 	}
-	key := p.Tuple().Src().String() + string(m.Token)
+	key := callerKey(p.Tuple().Src()) + string(m.Token)
 	if m.IsReset() {
 		b.cancel(p.Tuple().Src(), m.MessageID)
 		return
@@ -255,6 +256,10 @@
 	b.running[key] = time.AfterFunc(took, func() { b.finish(p.Tuple(), m, key, block) })
 }
 
+// callerKey is the part of a request's key that names its caller; each caller
+// of the stand-ins has one request at a time.
+func callerKey(caller netip.AddrPort) string { return caller.String() + "/" }
+
 func messageName(caller netip.AddrPort, id int32) string {
 	return caller.String() + string([]byte{byte(id >> 8), byte(id)})
 }
@@ -278,7 +283,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for key, timer := range b.running {
-		if len(key) > len(caller.String()) && key[:len(caller.String())] == caller.String() {
+		if strings.HasPrefix(key, callerKey(caller)) {
 			timer.Stop()
 			delete(b.running, key)
 			b.config.Ledger.cancelled()
