--- /dev/null
+++ b/internal/slopes/fleet.go
@@ -0,0 +1,258 @@
+package slopes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"oxbowsaddle/internal/flow"
+	"oxbowsaddle/internal/instance"
+	"oxbowsaddle/internal/member"
+	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/telemetry"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	beatEvery  = 300 * time.Millisecond
+	fleetWait  = 30 * time.Second
+	watchEvery = 5 * time.Millisecond
+)
+
+// lightFleet is three real control instances and light instances, which beat
+// and apply as an entry does and carry no traffic.
+type lightFleet struct {
+	settings settings.Settings
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	folder   string
+	light    []*lightInstance
+}
+
+type lightInstance struct {
+	name   string
+	domain string
+	index  atomic.Uint64
+	active atomic.Uint64
+}
+
+func startFleet(light int, now func() time.Time) (*lightFleet, error) {
+	folder, err := os.MkdirTemp("", "oxbowsaddle-slopes-")
+	if err != nil {
+		return nil, err
+	}
+	f := &lightFleet{folder: folder, settings: settings.Default()}
+	f.settings.HashKey = "000102030405060708090a0b0c0d0e0f"
+	f.settings.Fabric = netip.MustParseAddrPort("127.0.0.1:9")
+	for n := range 3 {
+		control, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		f.settings.Instances = append(f.settings.Instances, settings.Instance{
+			Name: fmt.Sprint("control", n), Domain: fmt.Sprint("d", n), Control: control,
+			Packets: netip.MustParseAddrPort("127.0.0.1:0"), Data: filepath.Join(folder, fmt.Sprint(n)),
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	for _, i := range f.settings.Instances {
+		logger, err := telemetry.NewLogger(io.Discard, "error", i.Name)
+		if err != nil {
+			return f, err
+		}
+		running, err := instance.New(instance.Config{Settings: f.settings, Name: i.Name, Log: logger, Now: now})
+		if err != nil {
+			return f, err
+		}
+		f.group.Go(func() { _ = running.Run(ctx) })
+	}
+	for n := range light {
+		l := &lightInstance{name: fmt.Sprint("light", n), domain: fmt.Sprint("d", n%16)}
+		f.light = append(f.light, l)
+		f.group.Go(func() { l.run(ctx, f.settings, now) })
+	}
+	return f, nil
+}
+
+func freeAddr() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
+
+func (f *lightFleet) close() error {
+	f.cancel()
+	f.group.Wait()
+	return os.RemoveAll(f.folder)
+}
+
+// run beats until the context ends, on one connection to the leader.
+func (l *lightInstance) run(ctx context.Context, s settings.Settings, now func() time.Time) {
+	core := member.New(member.Config{Name: l.name, Domain: l.domain, Incarnation: 1})
+	var client wire.DRPCControlClient
+	var done func() error
+	asked := 0
+	for ctx.Err() == nil {
+		if client == nil {
+			target := s.Instances[asked%len(s.Instances)]
+			if leader, err := s.Instance(core.Leader()); err == nil {
+				target = leader
+			}
+			asked++
+			var err error
+			if client, done, err = instance.Dial(ctx, target.Control, s.TLS); err != nil {
+				client = nil
+			}
+		}
+		more := false
+		if client != nil {
+			sent := now()
+			reply, err := client.Beat(ctx, core.Request(flow.Count{Index: core.State().Index()}, nil))
+			if err == nil {
+				more, err = core.Reply(sent, reply)
+			}
+			if err != nil || !reply.Leader {
+				_ = done()
+				client = nil
+			}
+			l.index.Store(core.State().Index())
+			l.active.Store(core.Active())
+		}
+		if !more {
+			select {
+			case <-time.After(beatEvery):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// settle waits until all light instances are listed and up to date.
+func (f *lightFleet) settle(ctx context.Context) error {
+	end := time.Now().Add(fleetWait)
+	for time.Now().Before(end) {
+		s, err := f.status(ctx)
+		if err == nil && len(s.Members) == len(f.light)+len(f.settings.Instances) && s.Active == s.Commit {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the light fleet did not settle")
+}
+
+func (f *lightFleet) status(ctx context.Context) (*wire.StatusReply, error) {
+	client, done, err := instance.Dial(ctx, f.settings.Instances[0].Control, f.settings.TLS)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = done() }()
+	return client.Status(ctx, &wire.StatusRequest{})
+}
+
+func (f *lightFleet) submit(ctx context.Context, id string, objects ...*wire.Object) (uint64, error) {
+	client, done, err := instance.Dial(ctx, f.settings.Instances[0].Control, f.settings.TLS)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = done() }()
+	reply, err := client.Submit(ctx, &wire.Change{Id: id, Author: "slopes", Base: 1 << 60, Objects: objects})
+	if err != nil {
+		return 0, err
+	}
+	if reply.Kind != "accepted" {
+		return 0, fmt.Errorf("%s %s %v", reply.Kind, reply.Detail, reply.Faults)
+	}
+	return reply.Revision, nil
+}
+
+// inForce measures from the offer of a change until every light instance
+// knows that it is in use, the median of several.
+func inForce(m *meter, light int) (float64, error) {
+	const changes = 5
+	f, err := startFleet(light, m.now)
+	if f != nil {
+		defer func() { _ = f.close() }()
+	}
+	if err != nil {
+		return 0, err
+	}
+	ctx := context.Background()
+	if err := f.settle(ctx); err != nil {
+		return 0, err
+	}
+	template := &wire.Object{Kind: "template", Name: "t", Body: []byte(`{"parameters":{}}`)}
+	total := 0.0
+	for n := range changes {
+		sent := m.now()
+		revision, err := f.submit(ctx, fmt.Sprint("c", n), template)
+		if err != nil {
+			return 0, err
+		}
+		if err := f.awaitActive(revision); err != nil {
+			return 0, err
+		}
+		total += float64(m.now().Sub(sent).Milliseconds())
+	}
+	return total / changes, nil
+}
+
+func (f *lightFleet) awaitActive(revision uint64) error {
+	end := time.Now().Add(fleetWait)
+	for time.Now().Before(end) {
+		behind := 0
+		for _, l := range f.light {
+			if l.active.Load() < revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return nil
+		}
+		time.Sleep(watchEvery)
+	}
+	return fmt.Errorf("revision %d did not come into force", revision)
+}
+
+// leaderCPU measures the processor time of the whole process at rest, which
+// holds the control instances and the light ones: an upper bound of the leader's.
+func leaderCPU(m *meter, light int) (float64, error) {
+	const window = 3 * time.Second
+	f, err := startFleet(light, m.now)
+	if f != nil {
+		defer func() { _ = f.close() }()
+	}
+	if err != nil {
+		return 0, err
+	}
+	if err := f.settle(context.Background()); err != nil {
+		return 0, err
+	}
+	before, err := cpuTime()
+	if err != nil {
+		return 0, err
+	}
+	time.Sleep(window)
+	after, err := cpuTime()
+	return float64(after-before) / float64(window) * 1000, err
+}
+
+func cpuTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, err
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
--- /dev/null
+++ b/internal/slopes/measure.go
@@ -0,0 +1,398 @@
+package slopes
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/control"
+	"oxbowsaddle/internal/controller"
+	"oxbowsaddle/internal/flow"
+	"oxbowsaddle/internal/health"
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/route"
+	"oxbowsaddle/internal/wire"
+)
+
+const endpointsEach = 4 // endpoints behind one address: 55,000 behind 15,000
+
+var began = time.Unix(1_700_000_000, 0)
+
+func measurements() []measurement {
+	return []measurement{
+		{"decision_flows", "flows cached", "ns", []int{10_000, 50_000, 200_000, 1_000_000}, decisionByFlows},
+		{"decision_endpoints", "endpoints in all services", "ns", []int{16, 4_000, 20_000, 55_000}, decisionByEndpoints},
+		{"new_flow", "flows cached", "ns", []int{10_000, 50_000, 200_000, 1_000_000}, newFlowCost},
+		{"flow_memory", "flows cached at most", "bytes", []int{50_000, 100_000, 200_000, 400_000}, flowMemory},
+		{"record_memory", "records held", "bytes", []int{5_000, 10_000, 20_000, 40_000}, recordMemory},
+		{"state_memory", "endpoints", "bytes", []int{2_000, 8_000, 20_000, 55_000}, stateMemory},
+		{"snapshot_bytes", "endpoints", "bytes", []int{2_000, 8_000, 20_000, 55_000}, snapshotBytes},
+		{"apply_change", "endpoints", "ns", []int{2_000, 8_000, 20_000, 55_000}, applyChange},
+		{"change_bytes", "endpoints of the changed service", "bytes", []int{1, 4, 8, 16}, changeBytes},
+		{"apply_moves", "endpoints", "ns", []int{2_000, 8_000, 20_000, 55_000}, applyMoves},
+		{"move_bytes", "buckets moved", "bytes", []int{16, 64, 256, 1024}, moveBytes},
+		{"place_tick", "services", "ns", []int{500, 2_000, 5_000, 15_000}, placeTick},
+		{"beat_cost", "entries", "ns", []int{8, 100, 425, 1_700}, beatCost},
+		{"controller_tick", "entries", "ns", []int{8, 100, 425, 1_700}, tickByEntries},
+		{"beat_bytes", "buckets reported", "bytes", []int{0, 50, 200, 400}, beatBytes},
+		{"rank_cost", "entries in a failure domain", "ns", []int{8, 50, 200, 425}, rankCost},
+		{"in_force", "light instances that beat", "ms", []int{25, 50, 100, 200}, inForce},
+		{"leader_cpu", "light instances that beat", "thousandths of a core", []int{25, 50, 100, 200}, leaderCPU},
+	}
+}
+
+// newState returns a state with so many endpoints, 4 for each service.
+func newState(endpoints int) (*control.State, error) {
+	s := control.NewState()
+	change := &wire.Change{Id: "first", Author: "slopes", Objects: []*wire.Object{{Kind: "template", Name: "t", Body: []byte(`{"parameters":{}}`)}}}
+	var names []string
+	for n := range max(endpoints/endpointsEach, 1) {
+		names = append(names, fmt.Sprintf(`"s%d"`, n))
+		change.Objects = append(change.Objects, serviceObject(n, endpointsEach))
+	}
+	change.Objects = append(change.Objects, &wire.Object{Kind: "team", Name: "team", Body: []byte(`{"template":"t","services":[` + strings.Join(names, ",") + `]}`)})
+	return s, apply(s, &wire.Command{Body: &wire.Command_Change{Change: change}})
+}
+
+func serviceObject(n, endpoints int) *wire.Object {
+	var list []string
+	for e := range endpoints {
+		list = append(list, fmt.Sprintf(`{"name":"e%d","address":%q,"domain":"d%d","slots":3,"connections":2000}`, e, endpointAddr(n*64+e), n%16))
+	}
+	body := fmt.Sprintf(`{"classes":[{"name":"c","address":%q,"protocol":"tcp","kind":"flow"}],"endpoints":[%s]}`, serviceAddr(n), strings.Join(list, ","))
+	return &wire.Object{Kind: "service", Name: fmt.Sprint("s", n), Body: []byte(body)}
+}
+
+func serviceAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(n >> 8), byte(n)}), 443)
+}
+
+func endpointAddr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(n >> 16), byte(n >> 8), byte(n)}), 6081)
+}
+
+func apply(s *control.State, c *wire.Command) error {
+	c.UnixNano = began.UnixNano()
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return err
+	}
+	answer, err := s.Apply(s.Index()+1, data)
+	if err == nil && answer.Outcome != control.Accepted {
+		err = fmt.Errorf("%s %s %v", answer.Outcome, answer.Detail, answer.Faults)
+	}
+	return err
+}
+
+// placed adds live entries and gives every bucket an endpoint.
+func placed(s *control.State, entries int) (*controller.Controller, error) {
+	members := &wire.Members{}
+	for n := range entries {
+		members.Joined = append(members.Joined, &wire.Member{Name: fmt.Sprint("e", n), Domain: fmt.Sprint("d", n%16), Incarnation: 1})
+	}
+	if err := apply(s, &wire.Command{Body: &wire.Command_Members{Members: members}}); err != nil {
+		return nil, err
+	}
+	k := controller.New(controller.Config{
+		Lease: time.Hour, Margin: time.Second, SettleAfter: time.Second, ReturnWait: time.Second, MovesAtOnce: 8, Health: health.DefaultConfig(),
+	}, began, s, 0)
+	for _, c := range k.Tick(began) {
+		if err := apply(s, c); err != nil {
+			return nil, err
+		}
+	}
+	return k, nil
+}
+
+func newEngine(flows int, t *route.Table) *flow.Engine {
+	e := flow.New(flow.Config{
+		Self: "e0", Domain: "d0", Incarnation: 1, Flows: flows, Records: flows, Waiting: 100, AsksASecond: 100, PushBytes: 2000,
+		AskTimeout: time.Second, PushRetry: time.Second, HalfOpenLife: time.Second, SweepEvery: time.Second,
+	}, began)
+	e.SetView(&flow.View{Table: t, Active: t.Index(), LeaseUntil: began.Add(time.Hour)})
+	return e
+}
+
+// packets returns one decoded packet for each of so many flows.
+func packets(flows int, services int, flags packet.Flags) ([]*packet.Packet, error) {
+	const most = 50_000 // they are used in turn; more flows share the address of the first
+	list := make([]*packet.Packet, 0, min(flows, most))
+	var d packet.Decoder
+	for n := range min(flows, most) {
+		inner, err := packet.Build(packet.NewTuple(callerAddr(n), serviceAddr(n%services), packet.TCP), flags, 1, 1, nil)
+		if err != nil {
+			return nil, err
+		}
+		p := &packet.Packet{}
+		if r := d.DecodeInner(inner, p); r != packet.Decoded {
+			return nil, fmt.Errorf("packet is %s", r)
+		}
+		list = append(list, p.Clone())
+	}
+	return list, nil
+}
+
+func callerAddr(n int) netip.AddrPort {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], uint32(11<<24+n/50_000))
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(1024+n%50_000))
+}
+
+// fill caches flows that are not among the packets measured.
+func fill(e *flow.Engine, flows int) error {
+	var d packet.Decoder
+	for n := 50_000; n < flows; n++ {
+		inner, err := packet.Build(packet.NewTuple(callerAddr(n), serviceAddr(0), packet.TCP), packet.NewFlags(false, true, false, false), 1, 1, nil)
+		if err != nil {
+			return err
+		}
+		p := &packet.Packet{}
+		d.DecodeInner(inner, p)
+		e.Inbound(began, p)
+	}
+	return nil
+}
+
+func decision(m *meter, flows, endpoints int) (float64, error) {
+	s, err := newState(endpoints)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := placed(s, 8); err != nil {
+		return 0, err
+	}
+	e := newEngine(flows, s.Table())
+	list, err := packets(flows, max(endpoints/endpointsEach, 1), packet.NewFlags(false, true, false, false))
+	if err != nil {
+		return 0, err
+	}
+	for _, p := range list {
+		e.Inbound(began, p)
+	}
+	if err := fill(e, flows); err != nil {
+		return 0, err
+	}
+	n := 0
+	return m.each(func() {
+		if v := e.Inbound(began, list[n]); v.Action() != flow.Forward {
+			panic("a known flow was not forwarded")
+		}
+		n = (n + 1) % len(list)
+	}), nil
+}
+
+func decisionByFlows(m *meter, flows int) (float64, error) { return decision(m, flows, 16) }
+func decisionByEndpoints(m *meter, endpoints int) (float64, error) {
+	return decision(m, 50_000, endpoints)
+}
+
+// newFlowCost measures the first packet of a flow.
+func newFlowCost(m *meter, flows int) (float64, error) {
+	s, err := newState(16)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := placed(s, 8); err != nil {
+		return 0, err
+	}
+	list, err := packets(10_000, 4, packet.NewFlags(true, false, false, false))
+	if err != nil {
+		return 0, err
+	}
+	e := newEngine(flows, s.Table())
+	if err := fill(e, flows*3/4); err != nil {
+		return 0, err
+	}
+	n, now := 0, began
+	return m.each(func() {
+		e.Inbound(now, list[n])
+		if n++; n == len(list) {
+			n, now = 0, now.Add(10*time.Second)
+			e.Tick(now)
+		}
+	}), nil
+}
+
+func flowMemory(m *meter, flows int) (float64, error) {
+	return m.bytes(func() any { return newEngine(flows, route.Empty()) }), nil
+}
+
+func recordMemory(m *meter, records int) (float64, error) {
+	s, err := newState(16)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := placed(s, 8); err != nil {
+		return 0, err
+	}
+	e := newEngine(64, s.Table())
+	return m.bytes(func() any {
+		push := &wire.Push{Service: 1}
+		for n := range records {
+			push.Bucket = uint32(n % 256)
+			push.Records = []*wire.FlowRecord{{High: uint64(n), Low: uint64(n) * 7919, Endpoint: 1}}
+			e.Peer(began, &wire.Peer{From: "e1", Body: &wire.Peer_Push{Push: push}})
+			e.TakeOut()
+		}
+		return e
+	}), nil
+}
+
+func stateMemory(m *meter, endpoints int) (float64, error) {
+	var err error
+	bytes := m.bytes(func() any {
+		s, buildErr := newState(endpoints)
+		if buildErr == nil {
+			_, buildErr = placed(s, 8)
+		}
+		err = buildErr
+		return s
+	})
+	return bytes, err
+}
+
+func snapshotBytes(_ *meter, endpoints int) (float64, error) {
+	s, err := newState(endpoints)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := placed(s, 8); err != nil {
+		return 0, err
+	}
+	data, err := s.Snapshot()
+	return float64(len(data)), err
+}
+
+func applyChange(m *meter, endpoints int) (float64, error) {
+	s, err := newState(endpoints)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	return m.each(func() {
+		n++
+		err := apply(s, &wire.Command{Body: &wire.Command_Change{Change: &wire.Change{
+			Id: fmt.Sprint("c", n), Base: 1 << 60, Objects: []*wire.Object{serviceObject(0, 1+n%endpointsEach)},
+		}}})
+		if err != nil {
+			panic(err)
+		}
+	}), nil
+}
+
+func changeBytes(_ *meter, endpoints int) (float64, error) {
+	c := &wire.Command{UnixNano: began.UnixNano(), Body: &wire.Command_Change{Change: &wire.Change{
+		Id: strings.Repeat("x", 26), Author: "operator", Base: 1 << 40, Objects: []*wire.Object{serviceObject(0, endpoints)},
+	}}}
+	return float64(proto.Size(c)), nil
+}
+
+func applyMoves(m *meter, endpoints int) (float64, error) {
+	s, err := newState(endpoints)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := placed(s, 8); err != nil {
+		return 0, err
+	}
+	n := 0
+	return m.each(func() {
+		n++
+		if err := apply(s, moves(64, uint32(1+n%2))); err != nil {
+			panic(err)
+		}
+	}), nil
+}
+
+func moves(count int, endpoint uint32) *wire.Command {
+	list := &wire.Moves{Reason: "weights"}
+	for b := range count {
+		list.Moves = append(list.Moves, &wire.Move{Service: 1, Bucket: uint32(b), Endpoint: endpoint})
+	}
+	return &wire.Command{Body: &wire.Command_Moves{Moves: list}}
+}
+
+func moveBytes(_ *meter, count int) (float64, error) {
+	return float64(proto.Size(moves(count, 40_000))), nil
+}
+
+func placeTick(m *meter, services int) (float64, error) {
+	s, err := newState(services * endpointsEach)
+	if err != nil {
+		return 0, err
+	}
+	k, err := placed(s, 8)
+	if err != nil {
+		return 0, err
+	}
+	now := began
+	return m.each(func() {
+		now = now.Add(time.Millisecond)
+		k.Tick(now)
+	}), nil
+}
+
+func beatRequest(n int, applied uint64) *wire.BeatRequest {
+	return &wire.BeatRequest{Name: fmt.Sprint("e", n), Domain: fmt.Sprint("d", n%16), Incarnation: 1, Applied: applied, Active: applied, CountedIndex: applied}
+}
+
+func beatCost(m *meter, entries int) (float64, error) {
+	s, err := newState(400)
+	if err != nil {
+		return 0, err
+	}
+	k, err := placed(s, entries)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	return m.each(func() {
+		n = (n + 1) % entries
+		k.Beat(began, beatRequest(n, s.Index()), true)
+	}), nil
+}
+
+func tickByEntries(m *meter, entries int) (float64, error) {
+	s, err := newState(400)
+	if err != nil {
+		return 0, err
+	}
+	k, err := placed(s, entries)
+	if err != nil {
+		return 0, err
+	}
+	for n := range entries {
+		k.Beat(began, beatRequest(n, s.Index()), true)
+	}
+	now := began
+	return m.each(func() {
+		now = now.Add(time.Millisecond)
+		k.Tick(now)
+	}), nil
+}
+
+func beatBytes(_ *meter, rows int) (float64, error) {
+	r := beatRequest(6799, 1<<30)
+	r.Checksum = 1 << 62
+	for n := range rows {
+		r.Counts = append(r.Counts, &wire.BucketCount{Service: 15_000, Bucket: uint32(n), Flows: 100})
+	}
+	reply := &wire.BeatReply{Leader: true, LeaderName: "e1", Term: 100, LeaseNanos: int64(time.Second), Active: 1 << 30, Commit: 1 << 30}
+	return float64(proto.Size(r) + proto.Size(reply)), nil
+}
+
+func rankCost(m *meter, entries int) (float64, error) {
+	var members []route.Member
+	for n := range entries {
+		members = append(members, route.NewMember(fmt.Sprint("e", n), "d0", 1, false, 1))
+	}
+	bucket := uint32(0)
+	return m.each(func() {
+		bucket++
+		route.Rank(members, 1, bucket)
+	}), nil
+}
