--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -6,6 +6,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dchest/siphash"
@@ -203,29 +205,34 @@
 
 // Preview tells what a change would answer now, without applying it.
 func (s *State) Preview(change *wire.Change) Answer {
+	answer, _ := s.preview(change)
+	return answer
+}
+
+func (s *State) preview(change *wire.Change) (Answer, intent.Document) {
 	if o, ok := s.outcomes[change.Id]; ok {
-		return Answer{Outcome: AlreadyAccepted, Revision: o.Revision, Detail: o.Detail}
+		return Answer{Outcome: AlreadyAccepted, Revision: o.Revision, Detail: o.Detail}, s.document
 	}
 	if a, lost := s.conflict(change); lost {
-		return a
+		return a, s.document
 	}
 	next, faults := s.edit(change)
-	faults = append(faults, s.heldElsewhere(next, affected(change, s.document, next))...)
+	touched := affected(change, s.document, next)
+	faults = append(faults, s.heldElsewhere(next, touched)...)
 	if len(faults) > 0 {
-		return Answer{Outcome: Invalid, Faults: faults, Detail: fmt.Sprintf("%d faults", len(faults))}
+		return Answer{Outcome: Invalid, Faults: faults, Detail: fmt.Sprintf("%d faults", len(faults))}, next
 	}
-	if warnings := intent.Warnings(s.document, next); len(warnings) > 0 && !change.Confirmed {
-		return Answer{Outcome: Unconfirmed, Faults: texts(warnings), Detail: "a service would be emptied"}
+	if warnings := intent.Warnings(s.document, next, slices.Sorted(maps.Keys(touched))); len(warnings) > 0 && !change.Confirmed {
+		return Answer{Outcome: Unconfirmed, Faults: texts(warnings), Detail: "a service would be emptied"}, next
 	}
-	return Answer{Outcome: Accepted}
+	return Answer{Outcome: Accepted}, next
 }
 
 func (s *State) applyChange(b *route.Builder, now time.Time, change *wire.Change) Answer {
-	answer := s.Preview(change)
+	answer, next := s.preview(change)
 	if answer.Outcome != Accepted {
 		return answer // only an accepted id is remembered: the others may be mended and sent again
 	}
-	next, _ := s.edit(change)
 	s.remember(now, change)
 	before := s.document
 	s.document = next
@@ -266,7 +273,31 @@
 			faults = append(faults, fmt.Sprintf("%s %s: %s", o.Kind, o.Name, err))
 		}
 	}
-	return next, append(faults, texts(next.Check())...)
+	return next, append(faults, texts(checkTouched(change, next))...)
+}
+
+// checkTouched checks the objects of a change and those that name them; the
+// others were checked when they were accepted.
+func checkTouched(change *wire.Change, next intent.Document) []intent.Fault {
+	templates, services, teams := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, o := range change.Objects {
+		switch o.Kind {
+		case intent.KindTemplate:
+			templates[o.Name] = true
+			for _, team := range next.TeamsOf(o.Name) {
+				teams[team] = true
+			}
+		case intent.KindService:
+			services[o.Name] = true
+			if team, ok := next.TeamOf(o.Name); ok {
+				teams[team] = true
+			}
+		case intent.KindTeam:
+			teams[o.Name] = true
+		}
+	}
+	sorted := func(names map[string]bool) []string { return slices.Sorted(maps.Keys(names)) }
+	return next.CheckOnly(sorted(templates), sorted(services), sorted(teams))
 }
 
 func texts(faults []intent.Fault) []string {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,6 +81,7 @@
 		assessor   *health.Assessor
 		planned    map[uint32]plan
 		lastPlace  time.Time
+		turn       uint32 // which services are looked at next
 	}
 )
 
@@ -191,11 +192,11 @@
 	k.advance(now)
 	var commands []*wire.Command
 	commands = append(commands, k.membership(now)...)
-	commands = append(commands, k.returning(now)...)
-	commands = append(commands, k.mourning(now)...)
-	commands = append(commands, k.transitions(now)...)
 	if now.Sub(k.lastPlace) >= k.config.PlaceEvery {
 		k.lastPlace = now
+		commands = append(commands, k.returning(now)...)
+		commands = append(commands, k.mourning(now)...)
+		commands = append(commands, k.transitions(now)...)
 		commands = append(commands, k.place(now)...)
 	}
 	for _, c := range commands {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -9,6 +9,13 @@
 	"oxbowsaddle/internal/wire"
 )
 
+const (
+	// leastLooks services are looked at each time, and all of them in as many
+	// looks as looksForAll; one that has changed is looked at at once.
+	leastLooks  = 64
+	looksForAll = 16
+)
+
 // plan is the last look at a service, so that one that has not changed costs
 // a comparison.
 type plan struct {
@@ -22,7 +29,15 @@
 func (k *Controller) place(now time.Time) []*wire.Command {
 	moves := &wire.Moves{Reason: "weights"}
 	table := k.state.Table()
+	var number, seen uint32
+	table.Services(func(*route.Service) { number++ })
+	share := max(leastLooks, number/looksForAll)
 	table.Services(func(s *route.Service) {
+		seen++
+		turn := (seen+number-1-k.turn%max(number, 1))%max(number, 1) < share
+		if !turn && k.planned[s.ID()].service == s {
+			return // it has not changed, and its reports are looked at in its turn
+		}
 		weights := k.assessor.Weights(now, s, table.EndpointsOf(s.ID()))
 		last := k.planned[s.ID()]
 		if last.empty && last.service == s && last.active == k.active && slices.Equal(last.weights, weights) {
@@ -34,6 +49,7 @@
 			moves.Moves = append(moves.Moves, &wire.Move{Service: s.ID(), Bucket: m.Bucket, Endpoint: m.Endpoint})
 		}
 	})
+	k.turn += share
 	if len(moves.Moves) == 0 {
 		return nil
 	}
--- a/internal/controller/transition.go
+++ b/internal/controller/transition.go
@@ -36,6 +36,9 @@
 	var commands []*wire.Command
 	seen := map[bucketKey]bool{}
 	k.state.Table().Services(func(s *route.Service) {
+		if len(s.Open()) == 0 {
+			return
+		}
 		var settle, forced, flip []uint32
 		for _, bucket := range slices.Sorted(maps.Keys(s.Open())) {
 			t := s.Open()[bucket]
--- a/internal/intent/check.go
+++ b/internal/intent/check.go
@@ -14,29 +14,36 @@
 
 // checker collects faults.
 type checker struct {
-	document  Document
-	faults    []Fault
-	addresses map[route.ServiceKey]string
-	endpoints map[netip.AddrPort]string
-	teams     map[string]string
+	document Document
+	faults   []Fault
 }
 
 // Check returns every fault of the document, in a stable order.
 func (d Document) Check() []Fault {
-	c := &checker{
-		document:  d,
-		addresses: map[route.ServiceKey]string{},
-		endpoints: map[netip.AddrPort]string{},
-		teams:     map[string]string{},
-	}
-	for _, name := range d.Templates() {
-		c.template("template "+name, d.templates[name])
+	return d.CheckOnly(d.Templates(), d.Services(), d.Teams())
+}
+
+// CheckOnly returns the faults of some objects. Where the others were checked
+// before, this finds every fault of the document: an address or a service that
+// two objects claim is a fault of the one that came later.
+func (d Document) CheckOnly(templates, services, teams []string) []Fault {
+	c := &checker{document: d}
+	for _, name := range templates {
+		if t, ok := d.templates[name]; ok {
+			c.template("template "+name, t)
+		}
 	}
-	for _, name := range d.Services() {
-		c.service("service "+name, d.services[name])
+	for _, name := range services {
+		if s, ok := d.services[name]; ok {
+			d.claim(name) // what another service has given up in the same change
+			c.service("service "+name, name, s)
+		}
 	}
-	for _, name := range d.Teams() {
-		c.team("team "+name, name, d.teams[name])
+	for _, name := range teams {
+		if t, ok := d.teams[name]; ok {
+			d.claimServices(name)
+			c.team("team "+name, name, t)
+		}
 	}
 	return c.faults
 }
@@ -85,20 +92,32 @@
 	return low, high
 }
 
-func (c *checker) service(place string, s Service) {
+func (c *checker) service(place, name string, s Service) {
 	if len(s.Classes) == 0 {
 		c.add(place, "has no class")
 	}
 	names := map[string]bool{}
+	keys := map[route.ServiceKey]bool{}
 	for i, class := range s.Classes {
-		c.class(fmt.Sprintf("%s class %d %q", place, i+1, class.Name), class, names)
+		at := fmt.Sprintf("%s class %d %q", place, i+1, class.Name)
+		c.class(at, class, names)
+		if other := c.document.classAt[class.key()]; other != name || keys[class.key()] {
+			c.add(at, "address %s is already used by service %s", class.Address, other)
+		}
+		keys[class.key()] = true
 	}
 	if len(s.Endpoints) > maxEndpoints {
 		c.add(place, "has %d endpoints, %d are allowed", len(s.Endpoints), maxEndpoints)
 	}
 	names = map[string]bool{}
+	addresses := map[netip.AddrPort]bool{}
 	for i, e := range s.Endpoints {
-		c.endpoint(fmt.Sprintf("%s endpoint %d %q", place, i+1, e.Name), e, names)
+		at := fmt.Sprintf("%s endpoint %d %q", place, i+1, e.Name)
+		c.endpoint(at, e, names)
+		if other := c.document.placeAt[e.Address]; other != name || addresses[e.Address] {
+			c.add(at, "address %s is already used by service %s", e.Address, other)
+		}
+		addresses[e.Address] = true
 	}
 }
 
@@ -119,10 +138,6 @@
 	if class.Kind == ClassWork && class.Protocol != "udp" {
 		c.add(place, "work travels over udp")
 	}
-	if other, taken := c.addresses[class.key()]; taken {
-		c.add(place, "address %s is already used by %s", class.Address, other)
-	}
-	c.addresses[class.key()] = place
 }
 
 func (c *checker) endpoint(place string, e Endpoint, names map[string]bool) {
@@ -139,10 +154,6 @@
 	if e.Slots < 1 || e.Connections < 1 {
 		c.add(place, "slots and connections are at least 1")
 	}
-	if other, taken := c.endpoints[e.Address]; taken {
-		c.add(place, "address %s is already used by %s", e.Address, other)
-	}
-	c.endpoints[e.Address] = place
 }
 
 func (c *checker) team(place, name string, t Team) {
@@ -156,10 +167,9 @@
 		if !ok {
 			c.add(place, "there is no service %q", s)
 		}
-		if other, taken := c.teams[s]; taken {
+		if other := c.document.reach[s]; other != name {
 			c.add(place, "service %q is already claimed by team %s", s, other)
 		}
-		c.teams[s] = name
 		for _, class := range service.Classes {
 			classes[class.Name] = true
 		}
@@ -182,9 +192,9 @@
 
 // Warnings returns what is allowed but asks for a confirmation: a service
 // that had endpoints taking new work and is left without.
-func Warnings(before, after Document) []Fault {
+func Warnings(before, after Document, services []string) []Fault {
 	var found []Fault
-	for _, name := range before.Services() {
+	for _, name := range services {
 		if usable(before.services[name]) > 0 && usable(after.services[name]) == 0 {
 			found = append(found, Fault{"service " + name, "would be left without an endpoint that takes new work"})
 		}
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -76,7 +76,9 @@
 		templates map[string]Template
 		services  map[string]Service
 		teams     map[string]Team
-		reach     map[string]string // service to team
+		reach     map[string]string           // service to team
+		classAt   map[route.ServiceKey]string // class address to service
+		placeAt   map[netip.AddrPort]string   // endpoint address to service
 	}
 
 	// Fault is one thing wrong with a document, and where.
@@ -91,12 +93,18 @@
 
 // NewDocument returns an empty document.
 func NewDocument() Document {
-	return Document{map[string]Template{}, map[string]Service{}, map[string]Team{}, map[string]string{}}
+	return Document{
+		templates: map[string]Template{}, services: map[string]Service{}, teams: map[string]Team{}, reach: map[string]string{},
+		classAt: map[route.ServiceKey]string{}, placeAt: map[netip.AddrPort]string{},
+	}
 }
 
 // Clone returns a copy that can be changed.
 func (d Document) Clone() Document {
-	return Document{maps.Clone(d.templates), maps.Clone(d.services), maps.Clone(d.teams), maps.Clone(d.reach)}
+	return Document{
+		templates: maps.Clone(d.templates), services: maps.Clone(d.services), teams: maps.Clone(d.teams), reach: maps.Clone(d.reach),
+		classAt: maps.Clone(d.classAt), placeAt: maps.Clone(d.placeAt),
+	}
 }
 
 // Template returns a template by name.
@@ -146,15 +154,18 @@
 	case KindTemplate:
 		return putObject(d.templates, name, body)
 	case KindService:
-		return putObject(d.services, name, body)
+		d.release(name)
+		if err := putObject(d.services, name, body); err != nil {
+			return err
+		}
+		d.claim(name)
+		return nil
 	case KindTeam:
 		d.unreach(name)
 		if err := putObject(d.teams, name, body); err != nil {
 			return err
 		}
-		for _, service := range d.teams[name].Services {
-			d.reach[service] = name
-		}
+		d.claimServices(name)
 		return nil
 	default:
 		return fmt.Errorf("unknown kind %q: template, service or team", kind)
@@ -168,6 +179,7 @@
 	case KindTemplate:
 		delete(d.templates, name)
 	case KindService:
+		d.release(name)
 		delete(d.services, name)
 	case KindTeam:
 		d.unreach(name)
@@ -216,6 +228,43 @@
 	return name, ok
 }
 
+// claim takes the addresses of a service that no other service has.
+func (d Document) claim(service string) {
+	for _, c := range d.services[service].Classes {
+		if d.classAt[c.key()] == "" {
+			d.classAt[c.key()] = service
+		}
+	}
+	for _, e := range d.services[service].Endpoints {
+		if d.placeAt[e.Address] == "" {
+			d.placeAt[e.Address] = service
+		}
+	}
+}
+
+// release gives the addresses of a service up.
+func (d Document) release(service string) {
+	for _, c := range d.services[service].Classes {
+		if d.classAt[c.key()] == service {
+			delete(d.classAt, c.key())
+		}
+	}
+	for _, e := range d.services[service].Endpoints {
+		if d.placeAt[e.Address] == service {
+			delete(d.placeAt, e.Address)
+		}
+	}
+}
+
+// claimServices takes the services of a team that no other team has.
+func (d Document) claimServices(team string) {
+	for _, service := range d.teams[team].Services {
+		if d.reach[service] == "" {
+			d.reach[service] = team
+		}
+	}
+}
+
 // unreach forgets which services a team reaches.
 func (d Document) unreach(team string) {
 	for _, service := range d.teams[team].Services {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,9 +27,10 @@
 
 	// Tracker holds what was heard last. One goroutine uses it.
 	Tracker struct {
-		config Config
-		peers  map[string]heard
-		gone   map[string]bool
+		config             Config
+		peers              map[string]heard
+		gone               map[string]bool
+		looked, aloneSince time.Time
 	}
 )
 
@@ -87,12 +88,28 @@
 }
 
 // Island reports whether this domain must serve by itself: the lease ran out
-// a while ago, no peer anywhere that can be heard holds one, and every other
-// entry of the domain is either heard or known to be gone. An entry that is
-// alone without knowing why serves nothing new: it may only be paused or cut
-// off, while the others go on.
+// a while ago, and for as long no peer anywhere that can be heard held one,
+// and every other entry of the domain was heard or known to be gone. An entry
+// that is alone without knowing why serves nothing new: it may only be paused
+// or cut off, while the others go on. It is to be asked often: after a gap, as
+// a pause makes one, the time counts anew, since what is heard right after a
+// pause was said long before.
 func (t *Tracker) Island(now, leaseUntil time.Time, table *route.Table) bool {
-	if leaseUntil.IsZero() || now.Sub(leaseUntil) < t.config.IslandAfter || len(t.Leased(now, table)) > 0 {
+	gap := now.Sub(t.looked) > t.config.HeardFor/2
+	t.looked = now
+	if gap || !t.alone(now, leaseUntil, table) {
+		t.aloneSince = time.Time{}
+		return false
+	}
+	if t.aloneSince.IsZero() {
+		t.aloneSince = now
+	}
+	return now.Sub(t.aloneSince) >= t.config.IslandAfter
+}
+
+// alone reports whether the domain seems to be cut off as a whole right now.
+func (t *Tracker) alone(now, leaseUntil time.Time, table *route.Table) bool {
+	if leaseUntil.IsZero() || now.Before(leaseUntil) || len(t.Leased(now, table)) > 0 {
 		return false
 	}
 	reachable := t.Reachable(now, table)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -118,6 +118,11 @@
 	}
 )
 
+const (
+	addressesLen = 32 // of two IPv6 addresses
+	portsLen     = 5  // of two ports and the transport
+)
+
 // NewHasher returns a Hasher with the fleet's key.
 func NewHasher(key [16]byte) Hasher {
 	return Hasher{binary.LittleEndian.Uint64(key[:8]), binary.LittleEndian.Uint64(key[8:])}
@@ -126,14 +131,22 @@
 // Flow returns the id of the flow that a caller's tuple belongs to; answers
 // are given reversed.
 func (h Hasher) Flow(t packet.Tuple) FlowID {
-	var b [37]byte
-	src, dst := t.Src().Addr().As16(), t.Dst().Addr().As16()
-	copy(b[:16], src[:])
-	copy(b[16:32], dst[:])
-	binary.LittleEndian.PutUint16(b[32:], t.Src().Port())
-	binary.LittleEndian.PutUint16(b[34:], t.Dst().Port())
-	b[36] = byte(t.Transport())
-	high, low := siphash.Hash128(h.key0, h.key1, b[:])
+	var b [addressesLen + portsLen]byte
+	n := addressesLen
+	if t.Src().Addr().Is4() {
+		src, dst := t.Src().Addr().As4(), t.Dst().Addr().As4()
+		copy(b[:], src[:])
+		copy(b[len(src):], dst[:])
+		n = len(src) + len(dst) // a different length is a different hash
+	} else {
+		src, dst := t.Src().Addr().As16(), t.Dst().Addr().As16()
+		copy(b[:], src[:])
+		copy(b[len(src):], dst[:])
+	}
+	binary.LittleEndian.PutUint16(b[n:], t.Src().Port())
+	binary.LittleEndian.PutUint16(b[n+2:], t.Dst().Port())
+	b[n+4] = byte(t.Transport())
+	high, low := siphash.Hash128(h.key0, h.key1, b[:n+portsLen])
 	return FlowID{high, low}
 }
 
