--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -15,6 +15,9 @@
 // changed, to the new one, and to the second holder.
 const maxHops = 4
 
+// plainFlags are those of a segment that neither opens nor ends a flow.
+var plainFlags = packet.NewFlags(false, true, false, false)
+
 type (
 	// bucketKey names a bucket of a service.
 	bucketKey struct {
@@ -96,6 +99,27 @@
 		return Verdict{action: Drop, reason: UnknownService}
 	}
 	id := e.config.Hasher.Flow(tuple)
+	cached := e.flows.get(id)
+	if endpoint := e.plainHit(cached, p); endpoint != nil && endpoint.Service() == service.ID() {
+		cached.seen = e.flows.ticks(now)
+		return Verdict{action: Forward, reason: ByCache, endpoint: endpoint, service: service, id: id, bucket: service.Bucket(id)}
+	}
+	return e.inboundSlow(now, service, id, cached, p)
+}
+
+// plainHit returns the endpoint of an open cached flow for a packet that
+// neither opens nor ends it and was not relayed: nearly every packet.
+func (e *Engine) plainHit(s *slot, p *packet.Packet) *route.Endpoint {
+	if s == nil || s.state != stateOpen || p.Flags() != plainFlags || e.config.Modulo {
+		return nil
+	}
+	if _, relayed := p.Relay(); relayed {
+		return nil
+	}
+	return e.view.Table.Endpoint(s.endpoint)
+}
+
+func (e *Engine) inboundSlow(now time.Time, service *route.Service, id route.FlowID, cached *slot, p *packet.Packet) Verdict {
 	v := Verdict{service: service, id: id, bucket: service.Bucket(id)}
 	if e.config.Modulo {
 		return e.modulo(v)
@@ -103,8 +127,8 @@
 	if relay, ok := p.Relay(); ok && relay.Kind() == packet.RelayStore {
 		return e.store(now, v, p, relay)
 	}
-	if s := e.flows.get(id); s != nil {
-		if got, ok := e.fromCache(now, v, p, s); ok {
+	if cached != nil {
+		if got, ok := e.fromCache(now, v, p, cached); ok {
 			return got
 		}
 	}
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -38,7 +38,7 @@
 		Flow: flow.Config{
 			Self: name, Domain: domain, Incarnation: incarnation, Hasher: w.hasher(), Flows: 4096, Records: 4096, Waiting: 256, AsksASecond: 2000,
 			PushBytes: 20000, AskTimeout: 40 * time.Millisecond, PushRetry: 60 * time.Millisecond,
-			HalfOpenLife: 2 * time.Second, SweepEvery: 200 * time.Millisecond,
+			HalfOpenLife: 2 * time.Second, SweepEvery: 200 * time.Millisecond, Modulo: w.config.Modulo,
 		},
 		Work: work.Config{
 			Self: name, Domain: domain, Incarnation: incarnation, Hasher: w.hasher(), Requests: 2000, HeldKeys: 20000,
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -80,6 +80,7 @@
 		Callers   int
 		Balance   float64
 		Idle      time.Duration
+		Modulo    bool // the baseline placement
 	}
 
 	// Report counts what callers and backend servers have seen.
--- a/internal/work/engine.go
+++ b/internal/work/engine.go
@@ -131,7 +131,8 @@
 		return // no room even to remember a refusal: silence is the only true answer
 	}
 	o.add(r)
-	o.byMessage[messageKey{e.config.Hasher.Flow(tuple), m.MessageID}] = id
+	r.key = messageKey{e.config.Hasher.Flow(tuple), m.MessageID}
+	o.byMessage[r.key] = id
 	e.step(o, r, Received, Arrived, 0)
 	if now.Before(o.blankUntil) && !class.Repeatable {
 		e.finish(o, r, Unknown, BothHoldersLost, UnknownMessage(m.Token, m.MessageID))
@@ -235,16 +236,14 @@
 		return
 	}
 	policy := e.view.Table.Service(o.service).Policy()
-	for {
-		var endpoint *route.Endpoint
+	for o.grants.anyFree(o.endpoints) {
 		r := o.queue.next(policy.LowestShare, func(r *request) bool {
-			endpoint = o.grants.choose(o.endpoints, func(c *route.Endpoint) bool { return e.may(r, c) })
-			return endpoint != nil
+			return o.grants.choose(o.endpoints, func(c *route.Endpoint) bool { return e.may(r, c) }) != nil
 		})
 		if r == nil || !e.mayDispatch(now, r) {
 			return
 		}
-		endpoint = o.grants.choose(o.endpoints, func(c *route.Endpoint) bool { return e.may(r, c) })
+		endpoint := o.grants.choose(o.endpoints, func(c *route.Endpoint) bool { return e.may(r, c) })
 		o.queue.remove(r)
 		o.queue.granted(r, policy.LowestShare)
 		e.send(now, o, r, endpoint)
--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -148,10 +148,8 @@
 		o.expiry = o.expiry[1:]
 		delete(o.requests, r.id)
 		delete(o.unheld, r.id)
-	}
-	for key, id := range o.byMessage {
-		if o.requests[id] == nil {
-			delete(o.byMessage, key)
+		if o.byMessage[r.key] == r.id {
+			delete(o.byMessage, r.key)
 		}
 	}
 	for key, t := range o.transfers {
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -200,7 +200,8 @@
 	}
 	o.add(r)
 	if !r.state.final() {
-		o.byMessage[messageKey{e.config.Hasher.Flow(r.tuple), r.message.MessageID}] = id
+		r.key = messageKey{e.config.Hasher.Flow(r.tuple), r.message.MessageID}
+		o.byMessage[r.key] = id
 	}
 	switch r.state {
 	case Received, Queued:
--- a/internal/work/request.go
+++ b/internal/work/request.go
@@ -20,6 +20,7 @@
 	// request is what the owner knows of one request.
 	request struct {
 		id         route.FlowID
+		key        messageKey
 		class      *route.Class
 		tuple      packet.Tuple
 		message    Message
--- a/internal/work/slots.go
+++ b/internal/work/slots.go
@@ -43,7 +43,21 @@
 }
 
 // free returns how many more requests an endpoint may get now.
-func (g *grants) free(e *route.Endpoint) int { return int(g.of(e).window) - g.of(e).inFlight }
+func (g *grants) free(e *route.Endpoint) int {
+	s := g.of(e)
+	return int(s.window) - s.inFlight
+}
+
+// anyFree reports whether an endpoint has a free slot at all; without one the
+// queue need not be looked through.
+func (g *grants) anyFree(endpoints []*route.Endpoint) bool {
+	for _, e := range endpoints {
+		if g.free(e) > 0 {
+			return true
+		}
+	}
+	return false
+}
 
 // choose returns the endpoint with the most free slots that may get the
 // request; among equals the one that was used longest ago.
