--- /dev/null
+++ b/internal/instance/traffic_bench_test.go
@@ -0,0 +1,186 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"oxbowsaddle/internal/packet"
+	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/telemetry"
+	"oxbowsaddle/internal/wire"
+)
+
+const benchFlows = 256
+
+// loopback is an address of a port that is free now.
+func loopback(tb testing.TB, network string) netip.AddrPort {
+	tb.Helper()
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		return netip.MustParseAddrPort(c.LocalAddr().String())
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// oneEntry runs one entry that is its own control instance, with one endpoint.
+func oneEntry(tb testing.TB, endpoint netip.AddrPort) *Instance {
+	tb.Helper()
+	s := settings.Default()
+	s.HashKey = "000102030405060708090a0b0c0d0e0f"
+	s.Fabric = loopback(tb, "udp")
+	s.Instances = []settings.Instance{{
+		Name: "one", Domain: "d", Packets: loopback(tb, "udp"), Control: loopback(tb, "tcp"), Data: filepath.Join(tb.TempDir(), "one"),
+	}}
+	logger, err := telemetry.NewLogger(io.Discard, "error", "one")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	i, err := New(Config{Settings: s, Name: "one", Log: logger, Now: time.Now})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	go func() { _ = i.Run(context.Background()) }()
+	tb.Cleanup(i.Kill)
+	accept(tb, s, endpoint)
+	return i
+}
+
+func accept(tb testing.TB, s settings.Settings, endpoint netip.AddrPort) {
+	tb.Helper()
+	service := fmt.Sprintf(`{"classes":[{"name":"c","address":"192.0.2.1:443","protocol":"tcp","kind":"flow"}],`+
+		`"endpoints":[{"name":"b","address":%q,"domain":"d","slots":1,"connections":100000}]}`, endpoint)
+	change := &wire.Change{Id: "first", Base: 1 << 60, Objects: []*wire.Object{
+		{Kind: "template", Name: "t", Body: []byte(`{"parameters":{}}`)}, {Kind: "service", Name: "s", Body: []byte(service)},
+		{Kind: "team", Name: "team", Body: []byte(`{"template":"t","services":["s"]}`)},
+	}}
+	end := time.Now().Add(20 * time.Second)
+	for time.Now().Before(end) {
+		client, done, err := Dial(context.Background(), s.Instances[0].Control, s.TLS)
+		if err == nil {
+			reply, submitErr := client.Submit(context.Background(), change)
+			status, statusErr := client.Status(context.Background(), &wire.StatusRequest{})
+			_ = done()
+			if submitErr == nil && statusErr == nil && reply.Kind == "already accepted" && status.Active > reply.Revision && status.LeaseLeftNanos > 0 {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	tb.Fatal("the entry did not come up")
+}
+
+// sender sends batches of data segments of several flows as fast as it can.
+func sender(tb testing.TB, to netip.AddrPort) (send func(), stop func()) {
+	tb.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	encoder, err := packet.NewEncoder()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	p := ipv4.NewPacketConn(conn)
+	messages := make([]ipv4.Message, batchSize)
+	port := 0
+	for n := range messages {
+		src := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(2000+port%benchFlows))
+		port++
+		inner, err := packet.Build(packet.NewTuple(src, netip.MustParseAddrPort("192.0.2.1:443"), packet.TCP), packet.NewFlags(false, true, false, false), 1, 1, make([]byte, 64))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		messages[n].Buffers = [][]byte{encoder.AppendPlain(nil, inner)}
+		messages[n].Addr = net.UDPAddrFromAddrPort(to)
+	}
+	return func() { _, _ = p.WriteBatch(messages, 0) }, func() { _ = conn.Close() }
+}
+
+// receiver counts what arrives.
+func receiver(tb testing.TB) (netip.AddrPort, *atomic.Int64) {
+	tb.Helper()
+	b, err := newBatchConn(netip.MustParseAddrPort("127.0.0.1:0"), 4<<20)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = b.udp.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			messages, err := b.receive(time.Now().Add(time.Second))
+			if err != nil {
+				return
+			}
+			count.Add(int64(len(messages)))
+		}
+	}()
+	return netip.MustParseAddrPort(b.udp.LocalAddr().String()), &count
+}
+
+// echo reads and writes the same batches as an entry and decides nothing: what
+// the sockets alone carry.
+func echo(tb testing.TB, to netip.AddrPort) netip.AddrPort {
+	tb.Helper()
+	b, err := newBatchConn(netip.MustParseAddrPort("127.0.0.1:0"), 4<<20)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = b.udp.Close() })
+	go func() {
+		for {
+			messages, err := b.receive(time.Now().Add(time.Second))
+			if err != nil {
+				return
+			}
+			for n := range messages {
+				_ = b.queue(append(b.next(), messages[n].Buffers[0][:messages[n].N]...), to)
+			}
+			_ = b.flush()
+		}
+	}()
+	return netip.MustParseAddrPort(b.udp.LocalAddr().String())
+}
+
+// BenchmarkLoopback carries packets through one entry, and through sockets
+// alone in the same run: packets a second at the receiver.
+func BenchmarkLoopback(b *testing.B) {
+	const seconds = 2
+	measure := func(b *testing.B, to netip.AddrPort, count *atomic.Int64) {
+		send, stop := sender(b, to)
+		defer stop()
+		for b.Loop() {
+			before, began := count.Load(), time.Now()
+			for time.Since(began) < seconds*time.Second {
+				send()
+			}
+			b.ReportMetric(float64(count.Load()-before)/time.Since(began).Seconds(), "packets/s")
+		}
+	}
+	b.Run("sockets alone", func(b *testing.B) {
+		at, count := receiver(b)
+		measure(b, echo(b, at), count)
+	})
+	b.Run("one entry", func(b *testing.B) {
+		at, count := receiver(b)
+		i := oneEntry(b, at)
+		measure(b, i.self.Packets, count)
+	})
+}
--- a/internal/work/engine.go
+++ b/internal/work/engine.go
@@ -23,6 +23,7 @@
 
 // Request takes a packet from a caller to a class of work.
 func (e *Engine) Request(now time.Time, service *route.Service, class *route.Class, p *packet.Packet) {
+	e.touched = true
 	owner, island := e.ownerOf(service)
 	if !island && !now.Before(e.view.LeaseUntil) {
 		// It may have lain here through a pause: an old packet must not come
@@ -295,6 +296,7 @@
 
 // Answer takes a packet from a backend server.
 func (e *Engine) Answer(now time.Time, from netip.AddrPort, service *route.Service, p *packet.Packet) {
+	e.touched = true
 	endpoint := e.view.Table.EndpointAt(from)
 	if relay, ok := p.Relay(); ok {
 		endpoint = e.view.Table.Endpoint(relay.Endpoint())
--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -90,6 +90,7 @@
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) {
+	e.touched = true
 	for _, o := range e.inOrder() {
 		e.tickOwned(now, o)
 	}
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -25,6 +25,7 @@
 
 // Peer takes a message from another entry.
 func (e *Engine) Peer(now time.Time, m *wire.Peer) {
+	e.touched = true
 	switch body := m.Body.(type) {
 	case *wire.Peer_Hold:
 		e.takeHold(now, m.From, body.Hold)
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -76,6 +76,7 @@
 		out      []Out
 		events   []Event
 		sequence uint64
+		touched  bool // something may have to be sent
 		stats    Stats
 	}
 )
@@ -90,6 +91,10 @@
 
 // TakeOut returns what is to be sent and forgets it; valid until the next call.
 func (e *Engine) TakeOut() []Out {
+	if !e.touched {
+		return nil // it is asked after every packet, and most are no work
+	}
+	e.touched = false
 	e.flushHolds()
 	out := e.out
 	e.out = e.out[:0]
@@ -125,6 +130,7 @@
 // entries since the last view is gone through in order, so that no owner in
 // between is missed.
 func (e *Engine) SetView(now time.Time, next *View) {
+	e.touched = true
 	if next.Table.Index() < e.view.Table.Index() {
 		return
 	}
