--- a/internal/cmd/cmd_accept.go
+++ b/internal/cmd/cmd_accept.go
@@ -29,7 +29,7 @@
 	c.Flags().StringVar(&a.id, "id", "", "change id; made and printed where none is given, so that it can be resent")
 	c.Flags().Uint64Var(&a.base, "base", 0, "revision that the change is based on; 0 takes the present one")
 	c.Flags().BoolVar(&a.confirm, "confirm", false, "confirm a change that leaves a service without endpoints")
-	c.Flags().StringVar(&a.author, "author", defaultAuthor(), "who makes the change")
+	c.Flags().StringVar(&a.author, "author", "", "who makes the change; your user name where empty")
 }
 
 func defaultAuthor() string {
@@ -81,6 +81,9 @@
 	if a.id == "" {
 		a.id = rand.Text()
 	}
+	if a.author == "" {
+		a.author = defaultAuthor()
+	}
 	return a.call(ctx, func(ctx context.Context, client wire.DRPCControlClient) error {
 		base := a.base
 		if base == 0 {
--- /dev/null
+++ b/internal/cmd/cmd_control.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// cmdControl shows and changes the control instances.
+func cmdControl() *cobra.Command {
+	c := &cobra.Command{
+		Use: "control", Short: "show or change the control instances, one at a time",
+		Long: "To replace a lost one: start the new instance with an empty data folder, add it, and remove the lost one.",
+	}
+	c.AddCommand(
+		cmdVoters("list", "list the control instances", 0, func([]string) *wire.VotersRequest { return &wire.VotersRequest{} }),
+		cmdVoters("add NAME", "add an instance that the settings name with a data folder", 1, func(args []string) *wire.VotersRequest {
+			return &wire.VotersRequest{Add: args[0]}
+		}),
+		cmdVoters("remove NAME", "remove a control instance", 1, func(args []string) *wire.VotersRequest {
+			return &wire.VotersRequest{Remove: args[0]}
+		}),
+	)
+	return c
+}
+
+func cmdVoters(use, short string, n int, request func([]string) *wire.VotersRequest) *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use: use, Short: short, Args: exactArgs(n),
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				r, err := client.Voters(ctx, request(args))
+				if err != nil {
+					return fault.Wrap(fault.Unreachable, err)
+				}
+				if r.Kind != "accepted" {
+					kind, nameErr := fault.FromName(r.Kind)
+					if nameErr != nil {
+						kind = fault.Internal
+					}
+					return fault.New(kind, "%s", r.Detail)
+				}
+				if t.output == "json" {
+					return printJSON(c.OutOrStdout(), r.Voters)
+				}
+				fmt.Fprintln(c.OutOrStdout(), r.Voters)
+				return nil
+			})
+		},
+	}
+	t.flags(c)
+	return c
+}
--- a/internal/cmd/scenario_test.go
+++ b/internal/cmd/scenario_test.go
@@ -72,6 +72,18 @@
 func (f *fleet) start(name string) {
 	f.t.Helper()
 	c := exec.Command(f.binary, "entry", "--settings", f.settings, "--name", name)
+	log, err := os.OpenFile(filepath.Join(filepath.Dir(f.settings), name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c.Stderr = log
+	f.t.Cleanup(func() {
+		text, _ := os.ReadFile(log.Name())
+		if f.t.Failed() {
+			f.t.Logf("log of %s:\n%s", name, text)
+		}
+		_ = log.Close()
+	})
 	if err := c.Start(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -161,6 +173,17 @@
 	g.Expect(strings.Count(out, "change first:")).To(gomega.Equal(1))
 	g.Expect(out).To(gomega.ContainSubstring("after-loss"))
 
+	out = f.until(0, "control", "list", "--addr", left)
+	g.Expect(out).To(gomega.ContainSubstring("three"))
+	spare := "three"
+	if leaderOf(t, f) == spare {
+		spare = "two"
+	}
+	f.until(0, "control", "remove", spare, "--addr", left)
+	f.until(0, "control", "add", spare, "--addr", left)
+	_, code = f.run("control", "add", "nobody", "--addr", left)
+	g.Expect(code).To(gomega.Equal(4))
+
 	out = f.until(0, "why", "flow", "10.0.0.1:4000", "192.0.2.10:443", "--addr", left)
 	g.Expect(out).To(gomega.ContainSubstring("candidate booking-1"))
 	f.until(0, "why", "lag", "--addr", left)
--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,113 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/placement"
+	"oxbowsaddle/internal/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func newService(endpoints int, balance float64) (*route.Service, []*route.Endpoint) {
+	b := route.NewBuilder(route.Empty(), 1)
+	b.PutService(1, "s", nil, route.Policy{Balance: balance}, 64)
+	for n := range uint32(endpoints) {
+		b.PutEndpoint(route.NewEndpoint(route.EndpointConfig{ID: n + 1, Service: 1, Connections: 1000}))
+	}
+	t := b.Table()
+	return t.Service(1), t.EndpointsOf(1)
+}
+
+func report(a *Assessor, now time.Time, times int, r Report) {
+	for range times {
+		a.Take(now, "one", r)
+		a.Take(now, "two", r)
+	}
+}
+
+func shares(w []placement.Weight) []float64 {
+	var all []float64
+	for _, x := range w {
+		all = append(all, x.Share)
+	}
+	return all
+}
+
+func TestOneBadReportDoesNothingAndSeveralDo(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, endpoints := newService(4, 0)
+	a := New(DefaultConfig(), start)
+	report(a, start, 1, Report{Endpoint: 1})
+	g.Expect(shares(a.Weights(start, s, endpoints))[0]).To(gomega.BeNumerically(">", 0))
+	report(a, start, 3, Report{Endpoint: 1})
+	g.Expect(shares(a.Weights(start, s, endpoints))[0]).To(gomega.BeZero())
+	report(a, start, 1, Report{Endpoint: 1, Healthy: true})
+	g.Expect(shares(a.Weights(start, s, endpoints))[0]).To(gomega.BeZero(), "one good report is not enough either")
+	report(a, start, 2, Report{Endpoint: 1, Healthy: true})
+	g.Expect(shares(a.Weights(start, s, endpoints))[0]).To(gomega.BeNumerically(">", 0))
+}
+
+func TestDisagreeingCheckersAndOldReports(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, endpoints := newService(4, 0)
+	a := New(DefaultConfig(), start)
+	for range 5 {
+		a.Take(start, "one", Report{Endpoint: 1})
+		a.Take(start, "two", Report{Endpoint: 1, Healthy: true})
+	}
+	g.Expect(shares(a.Weights(start, s, endpoints))[0]).To(gomega.BeNumerically(">", 0), "one checker of two may be cut off")
+	report(a, start, 5, Report{Endpoint: 2})
+	late := start.Add(time.Minute)
+	g.Expect(shares(a.Weights(late, s, endpoints))[1]).To(gomega.BeNumerically(">", 0), "old reports say nothing")
+}
+
+func TestAServiceIsNeverEmptiedByBadReports(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, endpoints := newService(4, 0)
+	a := New(DefaultConfig(), start)
+	for id := range uint32(3) {
+		report(a, start, 5, Report{Endpoint: id + 1})
+	}
+	for _, share := range shares(a.Weights(start, s, endpoints)) {
+		g.Expect(share).To(gomega.BeNumerically(">", 0))
+	}
+	g.Expect(a.Disbelieved(1)).To(gomega.BeTrue())
+}
+
+func TestALyingLoadReportIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, endpoints := newService(4, 1)
+	a := New(DefaultConfig(), start)
+	now := start
+	var last []float64
+	for range 2000 {
+		now = now.Add(250 * time.Millisecond)
+		for id := range uint32(4) {
+			connections := 500
+			if id == 0 {
+				connections = 0 // it says that it is idle, for ever
+			}
+			report(a, now, 1, Report{Endpoint: id + 1, Healthy: true, Connections: connections})
+		}
+		last = shares(a.Weights(now, s, endpoints))
+	}
+	g.Expect(last[0] / last[1]).To(gomega.BeNumerically("<=", DefaultConfig().MostTilt*DefaultConfig().MostTilt+0.01))
+}
+
+func TestANewEndpointIsRampedUpAndAFullOneGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s, endpoints := newService(2, 0)
+	a := New(DefaultConfig(), start)
+	later := start.Add(time.Hour)
+	a.Weights(start, s, endpoints[:1])
+	first := shares(a.Weights(later, s, endpoints))
+	g.Expect(first[1]).To(gomega.BeNumerically("<", 0.3*first[0]))
+	ramped := shares(a.Weights(later.Add(time.Minute), s, endpoints))
+	g.Expect(ramped[1]).To(gomega.Equal(ramped[0]))
+	report(a, later.Add(time.Minute), 1, Report{Endpoint: 2, Healthy: true, Connections: 1000})
+	g.Expect(shares(a.Weights(later.Add(time.Minute), s, endpoints))[1]).To(gomega.BeZero())
+}
--- /dev/null
+++ b/internal/instance/budget_test.go
@@ -0,0 +1,47 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/telemetry"
+)
+
+func newTestBudget() (*budget, *telemetry.Counters) {
+	c := telemetry.NewCounters()
+	return newBudget(settings.Limits{ControlBytes: 1000, CoreThousandths: 13, MemoryMegabytes: 64}, c), c
+}
+
+func TestBeatsAreNeverSlowedByTheByteBudget(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, counters := newTestBudget()
+	now := time.Unix(100, 0)
+	for range 100 {
+		b.must(now, 400)
+	}
+	g.Expect(counters.Counter("control_bytes").Count()).To(gomega.Equal(int64(40_000)), "what must be sent is sent and metered")
+	g.Expect(b.may(now, 10)).To(gomega.BeFalse(), "counts and probes wait")
+	g.Expect(b.may(now.Add(time.Minute), 10)).To(gomega.BeTrue())
+}
+
+func TestChecksAreSlowedWhenProcessorTimeRunsShort(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b, counters := newTestBudget()
+	now := time.Unix(100, 0)
+	b.judge(now, 0)
+	for range 6 {
+		now = now.Add(busyWindow)
+		b.busy(busyWindow / 10)
+		b.judge(now, 0)
+	}
+	g.Expect(b.slow()).To(gomega.BeEquivalentTo(slowest))
+	for range 6 {
+		now = now.Add(busyWindow)
+		b.judge(now, 128<<20)
+	}
+	g.Expect(b.slow()).To(gomega.BeEquivalentTo(1))
+	g.Expect(counters.Counter("budget_exceeded").Count()).To(gomega.BeNumerically(">=", 12), "memory above the limit is counted too")
+}
--- a/internal/instance/checker.go
+++ b/internal/instance/checker.go
@@ -44,12 +44,16 @@
 func (c *checker) run(ctx context.Context) error {
 	ticker := time.NewTicker(c.instance.config.Settings.Times.Check.Std())
 	defer ticker.Stop()
+	turn := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if turn++; turn%int(c.instance.budget.slow()) != 0 {
+			continue
+		}
 		loads := c.check(ctx, c.mine())
 		select {
 		case c.instance.control.loads <- loads:
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -47,6 +47,8 @@
 		stopping    bool
 		handedOver  chan struct{}
 		lastLeased  bool
+		heapAt      time.Time
+		heapBytes   uint64
 	}
 )
 
@@ -84,10 +86,21 @@
 			c.core.Peers().Heard(c.instance.now(), p.from, p.leased)
 		case <-ticker.C:
 		}
-		c.tick(ctx, c.instance.now())
+		began := c.instance.now()
+		c.tick(ctx, began)
+		c.instance.budget.busy(c.instance.now().Sub(began))
+		c.instance.budget.judge(began, c.heap(began))
 	}
 }
 
+// heap returns the memory in use, read once a window.
+func (c *controlLoop) heap(now time.Time) uint64 {
+	if now.Sub(c.heapAt) >= busyWindow {
+		c.heapAt, c.heapBytes = now, heapBytes()
+	}
+	return c.heapBytes
+}
+
 // call runs something on the control goroutine and waits for it.
 func (c *controlLoop) call(ctx context.Context, f func(now time.Time)) error {
 	done := make(chan struct{})
--- a/internal/instance/leader.go
+++ b/internal/instance/leader.go
@@ -94,7 +94,10 @@
 		case <-ticker.C:
 			l.replica.Tick(l.instance.now())
 		}
-		if err := l.pump(ctx); err != nil {
+		began := l.instance.now()
+		err := l.pump(ctx)
+		l.instance.budget.busy(l.instance.now().Sub(began))
+		if err != nil {
 			l.instance.log.Error("control instance ends", "error", err, "next", fault.KindOf(err).Answer().NextStep())
 			return err
 		}
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -48,7 +48,9 @@
 func (r *Replica) lead(now time.Time) {
 	r.role, r.leader = Leader, r.config.Self
 	r.followers = map[string]*progress{}
-	r.firstIndex = r.append(&wire.LogEntry{})
+	// It names the control instances, so that from the first term on the log
+	// says who they are, whatever the settings are changed to.
+	r.firstIndex = r.append(&wire.LogEntry{Voters: r.log.voters()})
 	r.broadcast(now)
 }
 
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -21,29 +21,30 @@
 
 	// ownership is what the owner of a service's work holds.
 	ownership struct {
-		service    uint32
-		index      uint64 // of the table by which it became the owner
-		phase      phase
-		before     string    // the former owner, while waiting
-		blankUntil time.Time // until then an old request cannot be told from a new one
-		requests   map[route.FlowID]*request
-		expiry     []*request // in the order they were received
-		active     []*request // without a final answer, in the order they came
-		byMessage  map[messageKey]route.FlowID
-		queue      queue
-		grants     grants
-		endpoints  []*route.Endpoint // that take new work
-		retries    retryBudget
-		transfers  map[transferKey]transfer
-		early      []earlyPacket // answers and requests that came while waiting
-		second     string
-		unheld     map[route.FlowID]*request
-		toHold     []*request
-		holds      []*sentHold // in the order of sequences
-		complete   bool        // the second holder was told that it has every key
-		handover   *outgoing
-		gaveAway   bool // another entry has been given the requests
-		wantedAt   time.Time
+		service     uint32
+		index       uint64 // of the table by which it became the owner
+		phase       phase
+		before      string    // the former owner, while waiting
+		blankUntil  time.Time // until then an old request cannot be told from a new one
+		requests    map[route.FlowID]*request
+		expiry      []*request // in the order they were received
+		active      []*request // without a final answer, in the order they came
+		byMessage   map[messageKey]route.FlowID
+		queue       queue
+		grants      grants
+		endpoints   []*route.Endpoint // that take new work
+		retries     retryBudget
+		transfers   map[transferKey]transfer
+		early       []earlyPacket // answers and requests that came while waiting
+		second      string
+		unheld      map[route.FlowID]*request
+		toHold      []*request
+		holds       []*sentHold // in the order of sequences
+		complete    bool        // the second holder was told that it has every key
+		handover    *outgoing
+		gaveAway    bool // another entry has been given the requests
+		formerSince time.Time
+		wantedAt    time.Time
 	}
 
 	messageKey struct {
@@ -205,7 +206,11 @@
 		before, known := e.formerOwner(s, previous, wasListed)
 		o = e.takeOver(now, s, o, before, known)
 	case owner != e.config.Self && o != nil && o.phase == serving:
-		o.phase = former
+		o.phase, o.formerSince = former, now
+	case owner != e.config.Self && o != nil && o.phase == waiting && owner == o.before:
+		// What was waited for is the present owner's own again.
+		e.drop(o)
+		return
 	}
 	if o == nil {
 		return
@@ -257,10 +262,13 @@
 	if o == nil || o.gaveAway {
 		o = e.newOwnership(s.ID())
 	}
+	// Whoever owned it in between and was not given what is kept here could
+	// not tell old requests from new ones, and ran none for one life.
+	kept := o.phase == former && now.Sub(o.formerSince) < s.Policy().RequestLife-e.config.Linger
 	o.index = e.view.Table.Index()
 	o.complete, o.second = false, ""
 	switch {
-	case known && (before == "" || before == e.config.Self):
+	case kept || known && (before == "" || before == e.config.Self):
 		o.phase = serving
 	case known && e.lives(before):
 		o.phase, o.before, o.wantedAt = waiting, before, time.Time{}
@@ -334,7 +342,7 @@
 func (e *Engine) begin(o *ownership) {
 	o.phase, o.before = serving, ""
 	if owner, _ := e.view.rank(o.service); owner != e.config.Self && !e.view.Island {
-		o.phase = former
+		o.phase = former // not formerSince: what it was given may be old
 	}
 }
 
