--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -74,6 +74,9 @@
 	fmt.Fprintf(w, "%s in %s, %s, leader %s, term %d\n", s.Name, s.Domain, s.Role, s.LeaderName, s.Term)
 	fmt.Fprintf(w, "revision %d, applied %d, in use %d, lease left %s, confirmed %s ago\n", s.Revision, s.Applied, s.Active,
 		time.Duration(s.LeaseLeftNanos).Round(time.Millisecond), time.Duration(s.ConfirmedAgoNanos).Round(time.Millisecond))
+	if !s.ByLeader {
+		fmt.Fprintln(w, "  the leader cannot be asked: leases and lag are not known")
+	}
 	for _, m := range s.Members {
 		fmt.Fprintf(w, "  entry %-16s %-12s applied %d, silent %s, leased %v, leaving %v\n", m.Name, m.Domain, m.Applied,
 			time.Duration(m.SilentNanos).Round(time.Millisecond), m.Leased, m.Leaving)
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -119,6 +119,10 @@
 
 // printLag names who lags and what each of them keeps from being in use.
 func printLag(w io.Writer, s *wire.StatusReply) error {
+	if !s.ByLeader {
+		return fault.New(fault.NotCurrent, "no leader can be asked from %s; it was last confirmed %s ago and serves by index %d", s.Name,
+			time.Duration(s.ConfirmedAgoNanos).Round(time.Millisecond), s.Applied)
+	}
 	lagging := 0
 	for _, m := range s.Members {
 		silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -204,7 +204,7 @@
 		if l.ctl == nil || !l.replica.Current(now) {
 			return
 		}
-		leads = true
+		leads, reply.ByLeader = true, true
 		reply.Revision, reply.Objects = l.state.Revision(), l.state.Objects()
 		reply.LeaderName, reply.Term = s.instance.self.Name, l.replica.Term()
 		reply.Members = nil
@@ -232,7 +232,7 @@
 	if err != nil {
 		return
 	}
-	reply.Members, reply.Drains, reply.Commit = got.Members, got.Drains, got.Commit
+	reply.Members, reply.Drains, reply.Commit, reply.ByLeader = got.Members, got.Drains, got.Commit, got.ByLeader
 	if got.Revision >= reply.Revision {
 		reply.Revision, reply.Objects, reply.History = got.Revision, got.Objects, got.History
 	}
--- /dev/null
+++ b/internal/replica/rules_test.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+var ruleStart = time.Unix(1000, 0)
+
+// newRuleReplica is "a" of three, with one entry of an old term on disk.
+func newRuleReplica() *Replica {
+	loaded := &storage.Loaded{Hard: &wire.HardState{Term: 1}, Entries: []*wire.LogEntry{{Index: 1, Term: 1, Command: []byte("old")}}}
+	return New(Config{
+		Self: "a", Voters: []string{"a", "b", "c"}, Heartbeat: testHeartbeat, Lease: testLease, Drift: testDrift,
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	}, ruleStart, loaded)
+}
+
+// elect makes it the leader of term 2 by the votes of b.
+func elect(r *Replica, now time.Time) {
+	r.Tick(now)
+	r.Ready(now)
+	r.Step(now, &wire.LogMessage{Kind: wire.LogMessage_PRE_VOTE_REPLY, Term: 2, From: "b", To: "a", Granted: true})
+	r.Ready(now)
+	r.Step(now, &wire.LogMessage{Kind: wire.LogMessage_VOTE_REPLY, Term: 2, From: "b", To: "a", Granted: true})
+	r.Ready(now)
+}
+
+// An entry of an older term at a majority may still be replaced by another
+// leader: only one of the own term commits it.
+func TestOldTermsAreNotCommittedByCounting(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRuleReplica()
+	now := ruleStart.Add(time.Second)
+	elect(r, now)
+	g.Expect(r.Role()).To(gomega.Equal(Leader))
+	reply := func(index uint64) {
+		r.Step(now, &wire.LogMessage{Kind: wire.LogMessage_APPEND_REPLY, Term: 2, From: "b", To: "a", Granted: true, Index: index, Stamp: now.UnixNano()})
+		r.Ready(now)
+	}
+	reply(1)
+	g.Expect(r.Commit()).To(gomega.BeZero())
+	g.Expect(r.Current(now)).To(gomega.BeFalse(), "nothing of the own term is committed")
+	reply(2)
+	g.Expect(r.Commit()).To(gomega.Equal(uint64(2)))
+	g.Expect(r.Current(now)).To(gomega.BeTrue())
+	g.Expect(r.Current(now.Add(testLease))).To(gomega.BeFalse(), "the lease has run out")
+}
+
+// A follower that has just heard a leader votes for nobody else for a lease,
+// whatever the term and the log of the one who asks.
+func TestNoVoteWhileALeaderHoldsThePromise(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRuleReplica()
+	now := ruleStart.Add(time.Second)
+	r.Step(now, &wire.LogMessage{Kind: wire.LogMessage_APPEND, Term: 2, From: "b", To: "a", Index: 1, LogTerm: 1, Stamp: 1})
+	r.Ready(now)
+	asked := func(at time.Time, kind wire.LogMessage_Kind) bool {
+		r.Step(at, &wire.LogMessage{Kind: kind, Term: 9, From: "c", To: "a", Index: 50, LogTerm: 8})
+		for _, m := range r.Ready(at).Messages {
+			if m.Granted {
+				return true
+			}
+		}
+		return false
+	}
+	soon := now.Add(testLease / 2)
+	g.Expect(asked(soon, wire.LogMessage_PRE_VOTE)).To(gomega.BeFalse())
+	g.Expect(asked(soon, wire.LogMessage_VOTE)).To(gomega.BeFalse())
+	g.Expect(r.Term()).To(gomega.Equal(uint64(2)), "the term is not taken over either")
+	late := now.Add(testLease)
+	g.Expect(asked(late, wire.LogMessage_VOTE)).To(gomega.BeTrue())
+	g.Expect(asked(late, wire.LogMessage_VOTE)).To(gomega.BeTrue(), "the same one again")
+	r.Step(late, &wire.LogMessage{Kind: wire.LogMessage_VOTE, Term: 9, From: "b", To: "a", Index: 50, LogTerm: 8})
+	for _, m := range r.Ready(late).Messages {
+		g.Expect(m.Granted).To(gomega.BeFalse(), "one vote a term")
+	}
+}
+
+// After a restart the promise is not known any more, so no vote is given for a lease.
+func TestNoVoteRightAfterARestart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRuleReplica()
+	r.Step(ruleStart.Add(testLease/2), &wire.LogMessage{Kind: wire.LogMessage_VOTE, Term: 9, From: "c", To: "a", Index: 50, LogTerm: 8})
+	g.Expect(r.Ready(ruleStart).Messages).To(gomega.BeEmpty())
+}
