--- a/internal/control/state_test.go
+++ b/internal/control/state_test.go
@@ -169,3 +169,20 @@
 		return &wire.Command{Body: &wire.Command_Suspect{Suspect: &wire.Suspect{Domain: "plateau", Returned: i%2 == 0, Cleared: i%3 == 0, Lost: i%5 == 0}}}
 	}
 }
+
+// The state goes only forward, by one command at a time.
+func TestOlderAndLaterCommandsAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := first(t, 3)
+	before, err := s.Snapshot()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	data, err := proto.Marshal(change("again", 0, object("service", "booking", serviceBody(5, ""))))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	for _, index := range []uint64{0, s.Index(), s.Index() + 2} {
+		_, err := s.Apply(index, data)
+		g.Expect(err).To(gomega.HaveOccurred(), "index %d", index)
+	}
+	after, err := s.Snapshot()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(after).To(gomega.Equal(before))
+}
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -130,7 +130,9 @@
 	if len(q.open) > 0 {
 		return
 	}
-	if len(q.halfOpen) == 1 {
+	if len(q.halfOpen) == 1 && len(e.view.Table.Cut()) == 0 {
+		// With a domain that cannot be asked a SYN alone is not enough: its
+		// entries may have placed a repetition elsewhere.
 		e.resolve(now, q, q.halfOpen[0])
 		return
 	}
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -111,7 +111,7 @@
 
 func (e *Engine) describe(now time.Time, o *ownership, r *request) *wire.Handover {
 	m := &wire.Handover{
-		Service: o.service, State: uint32(r.state), DeadlineNanos: int64(r.deadline.Sub(now)),
+		Service: o.service, State: uint32(r.state), MayHaveRun: r.mayHaveRun, DeadlineNanos: int64(r.deadline.Sub(now)),
 		Key: &wire.HeldKey{High: r.id.High, Low: r.id.Low, LifeNanos: int64(r.expires.Sub(now))},
 	}
 	if r.message.Code != 0 {
@@ -181,7 +181,7 @@
 		return
 	}
 	r := &request{
-		id: id, state: State(h.State), received: now, held: true,
+		id: id, state: State(h.State), received: now, held: true, mayHaveRun: h.MayHaveRun,
 		deadline: now.Add(time.Duration(h.DeadlineNanos)), expires: now.Add(time.Duration(h.Key.LifeNanos)),
 	}
 	var d packet.Decoder
