Flows: records tell half-open from open flows

Change: records carry whether more than a SYN was seen; during a doubt a half-open one is asked about like an unknown flow; half-open flows are not told to the holders.

--- a/internal/flow/answer.go
+++ b/internal/flow/answer.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if r, ok := e.records[id]; ok && r.key.service == endpoint.Service() {
-		e.records[id] = record{a.Endpoint, r.key, now}
+		e.records[id] = record{a.Endpoint, r.key, now, true}
 	}
 }
 
@@ -94,7 +94,7 @@
 func (e *Engine) correct(now time.Time, v Verdict, p *packet.Packet) Verdict {
 	e.cache(now, v, p, v.endpoint.ID(), false)
 	if r, ok := e.records[v.id]; ok {
-		e.records[v.id] = record{v.endpoint.ID(), r.key, now}
+		e.records[v.id] = record{v.endpoint.ID(), r.key, now, true}
 	}
 	return e.answerIf(true, v, ByAnswer)
 }
--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -106,7 +106,7 @@
 		told.Endpoint, told.Opening = s.endpoint, s.state == stateOpening
 	}
 	if r, ok := e.records[id]; ok && (told.Endpoint == 0 || told.Opening) {
-		told.Endpoint, told.Opening = r.endpoint, false
+		told.Endpoint, told.Opening = r.endpoint, !r.open
 	}
 	e.out = append(e.out, Out{Peer: from, Message: &wire.Peer{From: e.config.Self, Body: &wire.Peer_Told{Told: told}}})
 }
@@ -144,6 +144,7 @@
 func (e *Engine) resolve(now time.Time, q *question, endpoint uint32) {
 	delete(e.waiting, q.verdict.id)
 	e.keep(now, q.verdict, endpoint)
+	e.prove(q.verdict.id)
 	e.release(q, func(p *packet.Packet) Verdict { return e.forward(now, q.verdict, p, endpoint, ByPeer) })
 }
 
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -288,7 +288,7 @@
 	}
 	if second == "" || !slices.Contains(e.view.Reachable, second) {
 		// It is silent and will be dropped soon; if it is not, it is told.
-		e.tell(bucketKey{v.service.ID(), v.bucket}, v.id, endpoint)
+		e.tell(bucketKey{v.service.ID(), v.bucket}, v.id, endpoint, true)
 		return e.forward(now, v, p, endpoint, ByNew)
 	}
 	previous, _ := p.Relay()
@@ -305,6 +305,12 @@
 	if p.Flags().Opens() && owner == e.config.Self && now.Before(e.view.LeaseUntil) {
 		return e.recordNew(now, v, p, r.endpoint, second)
 	}
+	if !p.Flags().Opens() && !r.open {
+		if e.doubtful() {
+			return e.unknown(now, v, p)
+		}
+		e.prove(v.id)
+	}
 	return e.forward(now, v, p, r.endpoint, ByRecord)
 }
 
--- a/internal/flow/holder.go
+++ b/internal/flow/holder.go
@@ -14,6 +14,7 @@
 		endpoint uint32
 		key      bucketKey
 		at       time.Time // when it was made or told here
+		open     bool      // more than its SYN has been seen
 	}
 
 	// holding is what this entry knows as owner or second holder of a bucket.
@@ -36,12 +37,20 @@
 		e.stats.RecordsDropped++
 		return false
 	}
-	e.records[id] = record{endpoint, key, now}
+	e.records[id] = record{endpoint: endpoint, key: key, at: now}
 	h := e.holdingOf(key)
 	h.flows[id] = struct{}{}
 	return true
 }
 
+// prove notes that the flow of a record is open where the record says.
+func (e *Engine) prove(id route.FlowID) {
+	if r, ok := e.records[id]; ok {
+		r.open = true
+		e.records[id] = r
+	}
+}
+
 func (e *Engine) holdingOf(key bucketKey) *holding {
 	h := e.byHeld[key]
 	if h == nil {
--- a/internal/flow/push.go
+++ b/internal/flow/push.go
@@ -39,6 +39,7 @@
 	seenFlow struct {
 		id       route.FlowID
 		endpoint uint32
+		halfOpen bool
 	}
 
 	// sentPush is a push that is not answered.
@@ -102,14 +103,14 @@
 }
 
 // tell queues a flow for the holders of its bucket; false when the queue is full.
-func (e *Engine) tell(key bucketKey, id route.FlowID, endpoint uint32) bool {
+func (e *Engine) tell(key bucketKey, id route.FlowID, endpoint uint32, halfOpen bool) bool {
 	if e.push.seenCount >= maxSeen {
 		return false
 	}
 	if _, queued := e.push.seen[key]; !queued {
 		e.push.seenOrder = append(e.push.seenOrder, key)
 	}
-	e.push.seen[key] = append(e.push.seen[key], seenFlow{id, endpoint})
+	e.push.seen[key] = append(e.push.seen[key], seenFlow{id, endpoint, halfOpen})
 	e.push.seenCount++
 	return true
 }
@@ -164,7 +165,7 @@
 	var flows []seenFlow
 	for _, id := range ids {
 		if r, ok := e.records[id]; ok {
-			flows = append(flows, seenFlow{id, r.endpoint})
+			flows = append(flows, seenFlow{id, r.endpoint, !r.open})
 		}
 	}
 	return flows
@@ -178,7 +179,7 @@
 		case "":
 		case e.config.Self:
 			for _, f := range flows {
-				e.takeRecord(now, key, f.id, f.endpoint)
+				e.takeRecord(now, key, f)
 			}
 		default:
 			e.sendPush(now, peer, key, flows, false, nil)
@@ -190,7 +191,7 @@
 	e.push.sequence++
 	push := &wire.Push{Service: key.service, Bucket: key.bucket, Complete: complete, Sequence: e.push.sequence}
 	for _, f := range flows {
-		push.Records = append(push.Records, &wire.FlowRecord{High: f.id.High, Low: f.id.Low, Endpoint: f.endpoint})
+		push.Records = append(push.Records, &wire.FlowRecord{High: f.id.High, Low: f.id.Low, Endpoint: f.endpoint, HalfOpen: f.halfOpen})
 	}
 	if h != nil {
 		h.open++
@@ -254,7 +255,7 @@
 func (e *Engine) takePush(now time.Time, from string, push *wire.Push) {
 	key := bucketKey{push.Service, push.Bucket}
 	for _, r := range push.Records {
-		e.takeRecord(now, key, route.FlowID{High: r.High, Low: r.Low}, r.Endpoint)
+		e.takeRecord(now, key, seenFlow{route.FlowID{High: r.High, Low: r.Low}, r.Endpoint, r.HalfOpen})
 	}
 	if push.Complete {
 		e.holdingOf(key).complete = true
@@ -266,16 +267,20 @@
 
 // takeRecord stores what a peer has seen, unless this entry knows better. A
 // record that finds no room makes the holding incomplete: the owner then asks.
-func (e *Engine) takeRecord(now time.Time, key bucketKey, id route.FlowID, endpoint uint32) {
-	have := e.view.Table.Endpoint(endpoint)
+func (e *Engine) takeRecord(now time.Time, key bucketKey, f seenFlow) {
+	have := e.view.Table.Endpoint(f.endpoint)
 	if have == nil || have.Service() != key.service {
 		return
 	}
-	if _, known := e.records[id]; known {
+	if r, known := e.records[f.id]; known && (r.open || f.halfOpen) {
 		return
 	}
-	if !e.keepRecord(now, id, key, endpoint) {
+	if !e.keepRecord(now, f.id, key, f.endpoint) {
 		e.holdingOf(key).complete = false
+		return
+	}
+	if !f.halfOpen {
+		e.prove(f.id)
 	}
 }
 
--- a/internal/flow/sweep.go
+++ b/internal/flow/sweep.go
@@ -131,7 +131,7 @@
 	key := bucketKey{service.ID(), bucket}
 	e.sweep.rows[key]++
 	if !s.pushed || e.sweep.again[key] {
-		s.pushed = e.tell(key, s.id, s.endpoint)
+		s.pushed = s.state != stateOpening && e.tell(key, s.id, s.endpoint, false)
 	}
 	return true
 }
