--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -27,6 +27,11 @@
 		e.finish(o, r, Unknown, LeaseLost, UnknownMessage(r.message.Token, r.message.MessageID))
 		return
 	}
+	if r.repeatable() && now.Before(o.doubtUntil) {
+		// A lost owner may have dispatched it; nobody holds keys of such requests.
+		e.finish(o, r, Unknown, OwnerLost, UnknownMessage(r.message.Token, r.message.MessageID))
+		return
+	}
 	floor := e.view.Table.Service(o.service).Policy().LowestShare
 	again := max(o.wait(r.class.Priority, floor), time.Second)
 	e.finish(o, r, Refused, cause, NotRunMessage(r.message.Token, r.message.MessageID, again))
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -75,7 +75,7 @@
 	}
 	e.sequence++
 	e.peer(to, &wire.Peer{Body: &wire.Peer_Handover{Handover: &wire.Handover{
-		Service: service, Sequence: e.sequence, Last: true, BlankNanos: int64(s.Policy().RequestLife),
+		Service: service, Sequence: e.sequence, Last: true, BlankNanos: int64(s.Policy().RequestLife), DoubtNanos: int64(s.Policy().RequestLife),
 	}}})
 }
 
@@ -97,7 +97,7 @@
 	}
 	if len(h.left) == 0 && len(h.open) == 0 && !h.last {
 		h.last = true
-		e.sendHandover(now, h, &wire.Handover{Service: o.service, Last: true, BlankNanos: int64(max(o.blankUntil.Sub(now), 0))})
+		e.sendHandover(now, h, &wire.Handover{Service: o.service, Last: true, BlankNanos: int64(max(o.blankUntil.Sub(now), 0)), DoubtNanos: int64(max(o.doubtUntil.Sub(now), 0))})
 	}
 }
 
@@ -168,6 +168,9 @@
 	if blank := now.Add(time.Duration(h.BlankNanos)); h.BlankNanos > 0 && blank.After(o.blankUntil) {
 		o.blankUntil = blank
 	}
+	if doubt := now.Add(time.Duration(h.DoubtNanos)); h.DoubtNanos > 0 && doubt.After(o.doubtUntil) {
+		o.doubtUntil = doubt
+	}
 	e.chooseSecond(o)
 	e.replayEarly(now, s, o)
 	e.dispatch(now, o)
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -26,6 +26,7 @@
 		phase       phase
 		before      string    // the former owner, while waiting
 		blankUntil  time.Time // until then an old request cannot be told from a new one
+		doubtUntil  time.Time // until then a repeatable one, which no second holds, cannot
 		requests    map[route.FlowID]*request
 		expiry      []*request // in the order they were received
 		active      []*request // without a final answer, in the order they came
@@ -321,6 +322,7 @@
 // old request from a new one and must refuse until the longest life is over.
 func (e *Engine) afterLoss(now time.Time, s *route.Service, o *ownership, before string) {
 	e.begin(o)
+	o.doubtUntil = now.Add(s.Policy().RequestLife)
 	kept := e.kept[s.ID()]
 	if kept == nil || !kept.complete || kept.owner != before {
 		e.stats.Blanks++
