Demo: a real cut of a failure domain, and late work on leaving endpoints counted

Cause: the event cut only killed an entry, and late_new was never counted. Change: instances take a function that tells unreachable addresses; the demo cuts the last domain off for 4 s; the ledger counts what a leaving endpoint gets after 3 s.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -185,7 +185,7 @@
 // plan spreads the events over the run.
 func (r *run) plan() []event {
 	all := map[string]func(context.Context) error{
-		"drain": r.drain, "join": r.join, "kill": r.kill, "restart": r.restartAll, "cut": r.kill,
+		"drain": r.drain, "join": r.join, "kill": r.kill, "restart": r.restartAll, "cut": r.cutDomain,
 	}
 	names := r.fleet.config.Events
 	step := (r.fleet.config.For - warmUp - 2*coolDown) / time.Duration(len(names)+1)
@@ -209,6 +209,7 @@
 	endpoint, _ := endpoints[2].(map[string]any)
 	endpoint["leaving"] = true
 	r.leaving, _ = endpoint["name"].(string)
+	r.fleet.ledger.Leaving(r.leaving)
 	return r.fleet.accept(ctx, []*wire.Object{r.fleet.serviceObject(service)})
 }
 
@@ -252,6 +253,24 @@
 	return nil
 }
 
+// cutDomain cuts the last failure domain off for a while.
+func (r *run) cutDomain(ctx context.Context) error {
+	const lasts = 4 * time.Second
+	instances := r.fleet.settings.Instances
+	domain := instances[len(instances)-1].Domain
+	r.fleet.ledger.Unplanned()
+	r.fleet.cutOff(domain, true)
+	go func() {
+		select {
+		case <-time.After(lasts):
+		case <-ctx.Done():
+		}
+		r.fleet.ledger.Unplanned()
+		r.fleet.cutOff(domain, false)
+	}()
+	return nil
+}
+
 // restartAll stops and starts every entry, one after the other, as planned.
 func (r *run) restartAll(ctx context.Context) error {
 	for _, own := range r.fleet.settings.Instances {
@@ -316,6 +335,7 @@
 	row("broken, planned", r.BrokenPlanned)
 	row("broken, unplanned", r.BrokenUnplanned)
 	row("misdelivered", r.Misdelivered)
+	row("new on a leaving one", r.LateNew)
 	row("requests", r.Requests)
 	row("answered", r.Answered)
 	row("not run, said so", r.NotRun)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowsaddle/examples"
@@ -55,13 +56,15 @@
 		group     sync.WaitGroup
 		runErrors []error
 		changes   int
+		cut       atomic.Pointer[string] // the domain that is cut off, or nil
+		domainOf  map[netip.AddrPort]string
 		templates map[string]json.RawMessage
 	}
 )
 
 // newFleet reads the user's example, gives it free ports and starts all of it.
 func newFleet(ctx context.Context, c Config) (*fleet, error) {
-	f := &fleet{config: c, instances: map[string]*instance.Instance{}, backends: map[string]map[string]*standin.Backend{}, document: map[string]map[string]any{}}
+	f := &fleet{config: c, instances: map[string]*instance.Instance{}, backends: map[string]map[string]*standin.Backend{}, document: map[string]map[string]any{}, domainOf: map[netip.AddrPort]string{}}
 	f.ledger = standin.NewLedger(c.Now)
 	var err error
 	if f.fabric, err = standin.NewFabric(netip.MustParseAddrPort("127.0.0.1:0"), c.Seed); err != nil {
@@ -98,6 +101,7 @@
 		if i.Control, err = freePort("tcp"); err != nil {
 			return err
 		}
+		f.domainOf[i.Packets], f.domainOf[i.Control] = i.Domain, i.Domain
 		if i.Data != "" {
 			i.Data = filepath.Join(f.config.Folder, i.Name)
 		}
@@ -191,13 +195,14 @@
 	b, err := standin.NewBackend(standin.BackendConfig{
 		Name: e.Name, Service: service, Addr: netip.MustParseAddrPort("127.0.0.1:0"), HealthAddr: netip.MustParseAddrPort("127.0.0.1:0"),
 		Addresses: addresses, Slots: e.Slots, Connections: e.Connections, ServiceTime: serviceTime, Cold: cold, Blocks: blocks,
-		Pick: f.fabric.Pick, Ledger: f.ledger, Now: f.config.Now,
+		Pick: func() (netip.AddrPort, bool) { return f.pickFrom(e.Domain) }, Ledger: f.ledger, Now: f.config.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	f.backends[service][e.Name] = b
+	f.domainOf[b.Addr()] = e.Domain
 	f.mu.Unlock()
 	return map[string]any{
 		"name": e.Name, "address": b.Addr().String(), "health": b.HealthAddr().String(), "domain": e.Domain,
@@ -211,7 +216,7 @@
 	if err != nil {
 		return err
 	}
-	i, err := instance.New(instance.Config{Settings: f.settings, Name: name, Log: logger, Now: f.config.Now, Placement: f.config.Placement})
+	i, err := instance.New(instance.Config{Settings: f.settings, Name: name, Log: logger, Now: f.config.Now, Placement: f.config.Placement, Blocked: f.blockedFrom(name)})
 	if err != nil {
 		return err
 	}
@@ -233,6 +238,50 @@
 	return nil
 }
 
+// apart reports whether the cut runs between two domains.
+func (f *fleet) apart(a, b string) bool {
+	cut := f.cut.Load()
+	return cut != nil && (a == *cut) != (b == *cut)
+}
+
+// blockedFrom tells which addresses an instance cannot reach now.
+func (f *fleet) blockedFrom(name string) func(netip.AddrPort) bool {
+	own, err := f.settings.Instance(name)
+	return func(to netip.AddrPort) bool {
+		if err != nil || f.cut.Load() == nil {
+			return false
+		}
+		f.mu.Lock()
+		domain, known := f.domainOf[to]
+		f.mu.Unlock()
+		return known && f.apart(own.Domain, domain)
+	}
+}
+
+// pickFrom returns an entry that a backend server can reach.
+func (f *fleet) pickFrom(domain string) (netip.AddrPort, bool) {
+	return f.fabric.PickAmong(func(name string) bool {
+		i, err := f.settings.Instance(name)
+		return err == nil && !f.apart(domain, i.Domain)
+	})
+}
+
+// cutOff cuts a domain off from the others and from the callers, or joins it.
+func (f *fleet) cutOff(domain string, off bool) {
+	var names []string
+	for _, i := range f.settings.Instances {
+		if i.Domain == domain {
+			names = append(names, i.Name)
+		}
+	}
+	if off {
+		f.cut.Store(&domain)
+	} else {
+		f.cut.Store(nil)
+	}
+	f.fabric.Hide(names, off)
+}
+
 // acceptAll has the whole example accepted; an operator would run
 // `oxbowsaddle accept`.
 func (f *fleet) acceptAll(ctx context.Context) error {
--- a/internal/instance/dial.go
+++ b/internal/instance/dial.go
@@ -32,15 +32,16 @@
 
 	// dialer keeps connections to the control addresses of other instances.
 	dialer struct {
-		server *tls.Config
-		client *tls.Config
-		mu     sync.Mutex
-		conns  map[connKey]*drpcconn.Conn
+		server  *tls.Config
+		client  *tls.Config
+		blocked func(netip.AddrPort) bool
+		mu      sync.Mutex
+		conns   map[connKey]*drpcconn.Conn
 	}
 )
 
-func newDialer(s settings.Settings) (*dialer, error) {
-	d := &dialer{conns: map[connKey]*drpcconn.Conn{}}
+func newDialer(s settings.Settings, blocked func(netip.AddrPort) bool) (*dialer, error) {
+	d := &dialer{blocked: blocked, conns: map[connKey]*drpcconn.Conn{}}
 	var err error
 	if d.server, d.client, err = tlsConfigs(s.TLS); err != nil {
 		return nil, fault.Wrap(fault.InvalidSettings, err)
@@ -90,6 +91,9 @@
 
 // client returns a connection to an address, dialled if need be.
 func (d *dialer) clientOf(ctx context.Context, addr netip.AddrPort, purpose string) (wire.DRPCControlClient, error) {
+	if d.blocked(addr) {
+		return nil, fault.New(fault.Unreachable, "%s cannot be reached", addr)
+	}
 	key := connKey{addr, purpose}
 	d.mu.Lock()
 	conn := d.conns[key]
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 		// Placement names the baseline to run instead of the project's own
 		// placement; empty in every real use.
 		Placement string
+		// Blocked tells addresses that cannot be reached now, as the demo cuts
+		// failure domains off from each other; nil in every real use.
+		Blocked func(netip.AddrPort) bool
 	}
 
 	// Instance is one entry instance.
@@ -63,6 +67,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Blocked == nil {
+		c.Blocked = func(netip.AddrPort) bool { return false }
+	}
 	i := &Instance{
 		config: c, self: self, log: c.Log, now: c.Now, counters: telemetry.NewCounters(),
 		ring: explain.NewRing(c.Settings.Limits.Decisions), done: make(chan struct{}),
@@ -72,7 +79,7 @@
 	if i.tracer, err = telemetry.NewTracer(c.Settings.Trace); err != nil {
 		return nil, fault.Wrap(fault.DataFolder, err)
 	}
-	if i.dialer, err = newDialer(c.Settings); err != nil {
+	if i.dialer, err = newDialer(c.Settings, c.Blocked); err != nil {
 		return nil, err
 	}
 	if i.traffic, err = newTraffic(i); err != nil {
--- a/internal/instance/traffic.go
+++ b/internal/instance/traffic.go
@@ -251,15 +251,23 @@
 			return
 		}
 		t.counts.peerBytes.Inc(int64(len(data)))
-		_ = t.conn.queue(t.encoder.AppendPeer(buffer, data), t.byName[s.Peer])
+		t.queue(t.encoder.AppendPeer(buffer, data), t.byName[s.Peer])
 	case s.Relayed:
 		t.counts.relayed.Inc(1)
-		_ = t.conn.queue(t.encoder.AppendRelay(buffer, s.Inner, s.Relay), t.byName[s.Peer])
+		t.queue(t.encoder.AppendRelay(buffer, s.Inner, s.Relay), t.byName[s.Peer])
 	case s.Target == entry.ToBackend:
 		t.counts.forwarded.Inc(1)
-		_ = t.conn.queue(t.encoder.AppendPlain(buffer, s.Inner), s.Endpoint.Addr())
+		t.queue(t.encoder.AppendPlain(buffer, s.Inner), s.Endpoint.Addr())
 	default:
-		_ = t.conn.queue(t.encoder.AppendPlain(buffer, s.Inner), t.instance.config.Settings.Fabric)
+		t.queue(t.encoder.AppendPlain(buffer, s.Inner), t.instance.config.Settings.Fabric)
+	}
+}
+
+// queue sends a datagram, unless its receiver cannot be reached. An error of
+// the socket is a lost datagram; a closed socket ends run.
+func (t *traffic) queue(data []byte, to netip.AddrPort) {
+	if !t.instance.config.Blocked(to) {
+		_ = t.conn.queue(data, to)
 	}
 }
 
@@ -273,6 +281,9 @@
 	}
 	datagram := t.encoder.AppendPeer(nil, data)
 	for _, addr := range t.byName {
+		if t.instance.config.Blocked(addr) {
+			continue
+		}
 		_, _ = t.conn.udp.WriteToUDPAddrPort(datagram, addr)
 	}
 }
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -28,6 +28,7 @@
 		mu      sync.Mutex
 		rng     *rand.Rand
 		entries map[string]netip.AddrPort
+		hidden  map[string]bool // cut off from the callers
 		order   []netip.AddrPort
 		callers map[netip.AddrPort]func(*packet.Packet)
 	}
@@ -45,7 +46,7 @@
 	}
 	f := &Fabric{
 		conn: conn, encoder: encoder, rng: rand.New(rand.NewPCG(seed, 5)),
-		entries: map[string]netip.AddrPort{}, callers: map[netip.AddrPort]func(*packet.Packet){},
+		entries: map[string]netip.AddrPort{}, hidden: map[string]bool{}, callers: map[netip.AddrPort]func(*packet.Packet){},
 	}
 	go f.run()
 	return f, nil
@@ -95,9 +96,37 @@
 
 func (f *Fabric) reorder() {
 	f.order = f.order[:0]
-	for _, addr := range f.entries {
-		f.order = append(f.order, addr)
+	for name, addr := range f.entries {
+		if !f.hidden[name] {
+			f.order = append(f.order, addr)
+		}
+	}
+}
+
+// Hide cuts entries off from the callers, or joins them again.
+func (f *Fabric) Hide(names []string, hidden bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.hidden[name] = hidden
+	}
+	f.reorder()
+}
+
+// PickAmong returns one of some entries at random, hidden or not.
+func (f *Fabric) PickAmong(may func(name string) bool) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []netip.AddrPort
+	for name, addr := range f.entries {
+		if may(name) {
+			found = append(found, addr)
+		}
+	}
+	if len(found) == 0 {
+		return netip.AddrPort{}, false
 	}
+	return found[f.rng.IntN(len(found))], true
 }
 
 // Pick returns an entry at random, as the fabric would.
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -18,8 +18,9 @@
 		denied  map[string]bool // tokens whose callers were told "not run"
 		once    map[string]bool // tokens that may run only once
 		latency map[string]*hdrhistogram.Histogram
-		opens   map[string]int // by endpoint
-		faults  []time.Time    // of unplanned events
+		opens   map[string]int       // by endpoint
+		faults  []time.Time          // of unplanned events
+		leaving map[string]time.Time // endpoints, since when
 		reasons map[string]int
 	}
 
@@ -51,13 +52,14 @@
 	slowest      = 60_000_000 // microseconds
 	figures      = 3
 	unplannedFor = 8 * time.Second
+	leavingBound = 3 * time.Second
 )
 
 // NewLedger returns an empty ledger.
 func NewLedger(now func() time.Time) *Ledger {
 	return &Ledger{
 		now: now, runs: map[string]int{}, denied: map[string]bool{}, once: map[string]bool{},
-		latency: map[string]*hdrhistogram.Histogram{}, opens: map[string]int{}, reasons: map[string]int{},
+		latency: map[string]*hdrhistogram.Histogram{}, opens: map[string]int{}, reasons: map[string]int{}, leaving: map[string]time.Time{},
 	}
 }
 
@@ -129,6 +131,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.opens[endpoint]++
+	l.checkLeaving(endpoint)
+}
+
+// Leaving notes that an endpoint gets no new work a few seconds from now.
+func (l *Ledger) Leaving(endpoint string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[endpoint] = l.now()
+}
+
+func (l *Ledger) checkLeaving(endpoint string) {
+	if since, leaving := l.leaving[endpoint]; leaving && l.now().Sub(since) > leavingBound {
+		l.counts.LateNew++
+	}
 }
 
 // broken counts a flow that ended without its caller or backend server
@@ -156,11 +172,12 @@
 	}
 }
 
-func (l *Ledger) ran(token []byte, _ string) {
+func (l *Ledger) ran(token []byte, endpoint string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	key := string(token)
 	l.runs[key]++
+	l.checkLeaving(endpoint)
 	if l.once[key] && l.runs[key] == 2 {
 		l.counts.RanTwice++
 	}
