Planned restarts: blocks go on, and the fabric waits for a lease

Cause: a restart of all 8 entries left 72 requests unknown: answers were handed to instances that knew no table yet; blocks of an answer lost their endpoint at a handover. Change: an instance tells when it is ready and the demo's fabric heeds it; the endpoint of a block-wise answer is handed over.

--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -39,7 +39,7 @@
 			}
 			config.Now, config.Progress, config.Log, config.LogLevel = time.Now, c.OutOrStdout(), io.Discard, "error"
 			if verbose {
-				config.Log, config.LogLevel = c.ErrOrStderr(), "info"
+				config.Log, config.LogLevel = c.ErrOrStderr(), "debug"
 			}
 			runs := []string{config.Placement}
 			if compare {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -234,10 +234,26 @@
 	if err != nil {
 		return err
 	}
-	f.fabric.AddEntry(name, own.Packets)
+	f.group.Go(func() { f.announce(ctx, i, name, own.Packets) })
 	return nil
 }
 
+// announce lets the fabric use an instance once it is ready, as a fabric that
+// checks its next hops does.
+func (f *fleet) announce(ctx context.Context, i *instance.Instance, name string, at netip.AddrPort) {
+	const every = 20 * time.Millisecond
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for !i.Ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	f.fabric.AddEntry(name, at)
+}
+
 // apart reports whether the cut runs between two domains.
 func (f *fleet) apart(a, b string) bool {
 	cut := f.cut.Load()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -103,6 +103,13 @@
 // Counters returns the counters, for tests and reports.
 func (i *Instance) Counters() *telemetry.Counters { return i.counters }
 
+// Ready reports whether the instance may decide: it knows the table and holds
+// a lease. A fabric should hand packets to it only then.
+func (i *Instance) Ready() bool {
+	v := i.view.Load()
+	return v.Table.Index() > 0 && i.now().Before(v.LeaseUntil)
+}
+
 // Run serves until the context ends or a part fails.
 func (i *Instance) Run(ctx context.Context) error {
 	ctx, i.stop = context.WithCancel(ctx)
--- a/internal/instance/traffic.go
+++ b/internal/instance/traffic.go
@@ -319,6 +319,9 @@
 		endpoint = have.Name()
 	}
 	d := explain.Work(now, t.instance.self.Name, e, endpoint, view.Table.Index())
+	if e.State == work.Unknown || e.State == work.Refused {
+		t.instance.log.Debug("request", "token", d.Subject, "state", d.Action, "cause", d.Reason, "service", e.Service, "index", d.Index)
+	}
 	t.instance.ring.Add(d)
 	if e.ID.Low%uint64(t.instance.config.Settings.Limits.SampleOneIn) == 0 {
 		t.instance.tracer.Hop(now, e.ID.High, e.ID.Low, "request", attribute.String("entry", t.instance.self.Name),
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -126,6 +126,8 @@
 	}
 	if a := r.openAttempt(); a != nil {
 		m.Endpoint, m.MessageId = a.endpoint, uint32(a.messageID)
+	} else if n := len(r.attempts); n > 0 {
+		m.Endpoint = r.attempts[n-1].endpoint // where the other blocks of its answer are
 	}
 	return m
 }
@@ -207,6 +209,9 @@
 		r.key = messageKey{e.config.Hasher.Flow(r.tuple), r.message.MessageID}
 		o.byMessage[r.key] = id
 	}
+	if r.answer != nil && r.state == Answered && h.Endpoint != 0 {
+		e.noteTransfer(now, o, r, h.Endpoint, *r.answer)
+	}
 	switch r.state {
 	case Received, Queued:
 		e.step(o, r, Queued, HandedOver, 0)
