--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -36,6 +36,8 @@
 	group    sync.WaitGroup
 	folder   string
 	light    []*lightInstance
+	control  []*instance.Instance
+	asked    int // which control instance is asked
 }
 
 type lightInstance struct {
@@ -74,6 +76,7 @@
 		if err != nil {
 			return f, err
 		}
+		f.control = append(f.control, running)
 		f.group.Go(func() { _ = running.Run(ctx) })
 	}
 	for n := range light {
@@ -154,7 +157,7 @@
 }
 
 func (f *lightFleet) status(ctx context.Context) (*wire.StatusReply, error) {
-	client, done, err := instance.Dial(ctx, f.settings.Instances[0].Control, f.settings.TLS)
+	client, done, err := instance.Dial(ctx, f.settings.Instances[f.asked].Control, f.settings.TLS)
 	if err != nil {
 		return nil, err
 	}
@@ -163,7 +166,7 @@
 }
 
 func (f *lightFleet) submit(ctx context.Context, id string, objects ...*wire.Object) (uint64, error) {
-	client, done, err := instance.Dial(ctx, f.settings.Instances[0].Control, f.settings.TLS)
+	client, done, err := instance.Dial(ctx, f.settings.Instances[f.asked].Control, f.settings.TLS)
 	if err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/internal/slopes/fleet_bench_test.go
@@ -0,0 +1,98 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"oxbowsaddle/internal/wire"
+)
+
+func newBenchFleet(b *testing.B) *lightFleet {
+	b.Helper()
+	f, err := startFleet(8, time.Now)
+	if err == nil {
+		err = f.settle(context.Background())
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = f.close() })
+	return f
+}
+
+func templateObject(n int) *wire.Object {
+	return &wire.Object{Kind: "template", Name: fmt.Sprint("t", n), Body: []byte(`{"parameters":{}}`)}
+}
+
+// BenchmarkAccept measures acceptance by three instances on disk: one change
+// after the other, and sixteen at a time. Run with -benchtime 1x.
+func BenchmarkAccept(b *testing.B) {
+	const changes, together = 300, 16
+	f := newBenchFleet(b)
+	for b.Loop() {
+		var took []time.Duration
+		for n := range changes {
+			began := time.Now()
+			if _, err := f.submit(context.Background(), fmt.Sprint("one-", n), templateObject(n)); err != nil {
+				b.Fatal(err)
+			}
+			took = append(took, time.Since(began))
+		}
+		slices.Sort(took)
+		b.ReportMetric(float64(took[changes/2].Microseconds())/1000, "p50-ms")
+		b.ReportMetric(float64(took[changes*99/100].Microseconds())/1000, "p99-ms")
+		began := time.Now()
+		var group sync.WaitGroup
+		for worker := range together {
+			group.Go(func() {
+				for n := range changes / together {
+					if _, err := f.submit(context.Background(), fmt.Sprint("many-", worker, "-", n), templateObject(worker)); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+		}
+		group.Wait()
+		b.ReportMetric(float64(changes/together*together)/time.Since(began).Seconds(), "changes/s")
+	}
+}
+
+// BenchmarkFailOver measures from the loss of the leader to the next accepted
+// change. Run with -benchtime 1x.
+func BenchmarkFailOver(b *testing.B) {
+	for b.Loop() {
+		f := newBenchFleet(b)
+		s, err := f.status(context.Background())
+		if err != nil {
+			b.Fatal(err)
+		}
+		for n, i := range f.settings.Instances {
+			if i.Name == s.LeaderName {
+				f.asked = (n + 1) % len(f.settings.Instances)
+				f.control[n].Kill()
+			}
+		}
+		began := time.Now()
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			_, err := f.submit(ctx, "after", templateObject(1))
+			cancel()
+			if err == nil || time.Since(began) > time.Minute {
+				break
+			}
+		}
+		b.ReportMetric(time.Since(began).Seconds(), "s-to-accept")
+		revision, err := f.submit(context.Background(), "in-force", templateObject(2))
+		if err == nil {
+			err = f.awaitActive(revision)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(time.Since(began).Seconds(), "s-to-in-force")
+	}
+}
--- a/internal/work/rules_test.go
+++ b/internal/work/rules_test.go
@@ -90,13 +90,13 @@
 
 func TestNothingIsDispatchedOrDeniedWithoutALease(t *testing.T) {
 	g := gomega.NewWithT(t)
-	owner, second, o := newPair(t, time.Second)
+	owner, second, o := newPair(t, 100*time.Millisecond)
 	owner.TakeOut()
 	o.ask(owner, 1)
 	hold := holdIn(owner.TakeOut())
 	second.Peer(o.now, &wire.Peer{From: owner.config.Self, Body: &wire.Peer_Hold{Hold: hold}})
 	held := second.TakeOut()[0].Message
-	late := o.now.Add(2 * time.Second) // the owner was paused
+	late := o.now.Add(200 * time.Millisecond) // the owner was paused; the deadline is later
 	owner.Peer(late, held)
 	owner.Tick(late)
 	for _, out := range owner.TakeOut() {
