--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -111,7 +111,7 @@
 	for ctx.Err() == nil {
 		if client == nil {
 			target := s.Instances[asked%len(s.Instances)]
-			if leader, err := s.Instance(core.Leader()); err == nil {
+			if leader, err := s.Instance(core.Leader()); err == nil && asked%2 == 0 {
 				target = leader
 			}
 			asked++
