--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -20,7 +20,7 @@
 		Use: "status", Short: "show roles, revision, leases, what drains wait for, and who lags", Args: exactArgs(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := waitInForce(ctx, client, wait)
+				s, err := waitInForce(ctx, client, wait, time.Now)
 				if err != nil {
 					return err
 				}
@@ -39,9 +39,9 @@
 
 // waitInForce asks until every live entry has applied the last revision and
 // every lease without it has run out.
-func waitInForce(ctx context.Context, client wire.DRPCControlClient, wait time.Duration) (*wire.StatusReply, error) {
+func waitInForce(ctx context.Context, client wire.DRPCControlClient, wait time.Duration, now func() time.Time) (*wire.StatusReply, error) {
 	const pause = 100 * time.Millisecond
-	end := time.Now().Add(wait)
+	end := now().Add(wait)
 	for {
 		s, err := client.Status(ctx, &wire.StatusRequest{})
 		if err != nil {
@@ -50,7 +50,7 @@
 		if wait == 0 || s.Active >= s.Revision && s.Revision > 0 {
 			return s, nil
 		}
-		if time.Now().After(end) {
+		if now().After(end) {
 			return nil, fault.New(fault.NotCurrent, "revision %d is not in force everywhere: %s", s.Revision, laggards(s))
 		}
 		time.Sleep(pause)
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -34,7 +34,7 @@
 		instance    *Instance
 		core        *member.Core
 		incarnation uint64
-		calls       chan func(now time.Time)
+		calls       callQueue
 		results     chan beatResult
 		loads       chan []*wire.EndpointLoad
 		gone        chan []string
@@ -61,7 +61,7 @@
 			Name: i.self.Name, Domain: i.self.Domain, Incarnation: incarnation,
 			Peers: peer.Config{Self: i.self.Name, Domain: i.self.Domain, HeardFor: t.HeardFor.Std(), IslandAfter: t.IslandAfter.Std()},
 		}),
-		calls: make(chan func(time.Time), queue), results: make(chan beatResult, 1),
+		calls: make(callQueue, queue), results: make(chan beatResult, 1),
 		loads: make(chan []*wire.EndpointLoad, 1), gone: make(chan []string, 1), handedOver: make(chan struct{}),
 	}
 }
@@ -101,22 +101,6 @@
 	return c.heapBytes
 }
 
-// call runs something on the control goroutine and waits for it.
-func (c *controlLoop) call(ctx context.Context, f func(now time.Time)) error {
-	done := make(chan struct{})
-	select {
-	case c.calls <- func(now time.Time) { f(now); close(done) }:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (c *controlLoop) stop() {
 	c.calls <- func(time.Time) {
 		c.core.Stop()
--- a/internal/instance/leader.go
+++ b/internal/instance/leader.go
@@ -33,7 +33,7 @@
 		replica  *replica.Replica
 		state    *control.State
 		ctl      *controller.Controller
-		calls    chan func(now time.Time)
+		calls    callQueue
 		waiters  map[uint64]waiter
 		outboxes map[string]chan *wire.LogMessage
 		snapshot struct {
@@ -65,7 +65,7 @@
 	}
 	t := i.config.Settings.Times
 	l := &leaderLoop{
-		instance: i, store: store, state: state, calls: make(chan func(time.Time), queue),
+		instance: i, store: store, state: state, calls: make(callQueue, queue),
 		waiters: map[uint64]waiter{}, outboxes: map[string]chan *wire.LogMessage{},
 	}
 	if loaded.Snapshot != nil {
@@ -104,22 +104,6 @@
 	}
 }
 
-// call runs something on this goroutine and waits for it.
-func (l *leaderLoop) call(ctx context.Context, f func(now time.Time)) error {
-	done := make(chan struct{})
-	select {
-	case l.calls <- func(now time.Time) { f(now); close(done) }:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // pump persists, sends and applies, in this order, and lets the controller
 // decide while this instance leads.
 func (l *leaderLoop) pump(ctx context.Context) error {
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -10,8 +10,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"oxbowsaddle/internal/control"
-	"oxbowsaddle/internal/entry"
-	"oxbowsaddle/internal/explain"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/route"
 	"oxbowsaddle/internal/wire"
@@ -46,7 +44,7 @@
 		return &wire.BeatReply{}, nil
 	}
 	var reply *wire.BeatReply
-	err := l.call(ctx, func(now time.Time) { reply = l.beat(now, r) })
+	err := l.calls.call(ctx, func(now time.Time) { reply = l.beat(now, r) })
 	return reply, err
 }
 
@@ -56,7 +54,7 @@
 	if l == nil {
 		return &wire.StepReply{}, nil
 	}
-	err := l.call(ctx, func(now time.Time) { l.replica.Step(now, m) })
+	err := l.calls.call(ctx, func(now time.Time) { l.replica.Step(now, m) })
 	return &wire.StepReply{}, err
 }
 
@@ -102,7 +100,7 @@
 // controlTargets returns the other control instances, the leader first.
 func (s *server) controlTargets(ctx context.Context) []netip.AddrPort {
 	leader := ""
-	_ = s.instance.control.call(ctx, func(time.Time) { leader = s.instance.control.core.Leader() })
+	_ = s.instance.control.calls.call(ctx, func(time.Time) { leader = s.instance.control.core.Leader() })
 	names := s.instance.config.Settings.Voters()
 	slices.SortStableFunc(names, func(a, b string) int {
 		switch {
@@ -130,7 +128,7 @@
 	var answer control.Answer
 	var wait chan control.Answer
 	var err error
-	if callErr := l.call(ctx, func(now time.Time) { answer, wait, err = l.submit(now, c) }); callErr != nil {
+	if callErr := l.calls.call(ctx, func(now time.Time) { answer, wait, err = l.submit(now, c) }); callErr != nil {
 		return control.Answer{}, fault.Wrap(fault.NoQuorum, callErr)
 	}
 	if err != nil || wait == nil {
@@ -162,7 +160,7 @@
 	}
 	defer leave()
 	reply := &wire.StatusReply{Name: s.instance.self.Name, Domain: s.instance.self.Domain, Role: "entry"}
-	err = s.instance.control.call(ctx, func(now time.Time) { s.fillEntry(reply, now, r.History) })
+	err = s.instance.control.calls.call(ctx, func(now time.Time) { s.fillEntry(reply, now, r.History) })
 	if err != nil {
 		return nil, err
 	}
@@ -198,7 +196,7 @@
 		return false
 	}
 	leads := false
-	_ = l.call(ctx, func(now time.Time) {
+	_ = l.calls.call(ctx, func(now time.Time) {
 		reply.Role = l.replica.Role().String()
 		reply.Commit = l.replica.Commit()
 		if l.ctl == nil || !l.replica.Current(now) {
@@ -267,73 +265,6 @@
 	return all
 }
 
-// Voters shows or changes the control instances.
-func (s *server) Voters(ctx context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
-	leave, err := s.enter(ctx)
-	if err != nil {
-		return nil, err
-	}
-	defer leave()
-	if reply, err := s.votersHere(ctx, r); err == nil || r.Forwarded {
-		return reply, nil
-	}
-	forwarded := &wire.VotersRequest{Add: r.Add, Remove: r.Remove, Forwarded: true}
-	for _, target := range s.controlTargets(ctx) {
-		client, err := s.instance.dialer.clientOf(ctx, target, "operator")
-		if err != nil {
-			continue
-		}
-		if got, err := client.Voters(ctx, forwarded); err == nil && got.Kind != fault.NotCurrent.Name() {
-			return got, nil
-		}
-	}
-	return &wire.VotersReply{Kind: fault.NoQuorum.Name(), Detail: "no control instance could decide"}, nil
-}
-
-func (s *server) votersHere(ctx context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
-	err := fault.New(fault.NotCurrent, "%s is no control instance", s.instance.self.Name)
-	reply := &wire.VotersReply{}
-	if l := s.instance.leader; l != nil {
-		if callErr := l.call(ctx, func(now time.Time) { err = l.changeVoters(now, r, reply) }); callErr != nil {
-			err = fault.Wrap(fault.NoQuorum, callErr)
-		}
-	}
-	if err != nil {
-		reply.Kind, reply.Detail = fault.KindOf(err).Name(), err.Error()
-		if fault.KindOf(err) != fault.NotCurrent {
-			return reply, nil // this is the leader's answer
-		}
-	}
-	return reply, err
-}
-
-// changeVoters adds or removes one control instance, or only lists them.
-func (l *leaderLoop) changeVoters(now time.Time, r *wire.VotersRequest, reply *wire.VotersReply) error {
-	if !l.replica.Current(now) {
-		return fault.New(fault.NotCurrent, "%s is not the current leader", l.instance.self.Name)
-	}
-	voters := slices.Clone(l.replica.Voters())
-	reply.Kind, reply.Voters = "accepted", voters
-	if r.Add == "" && r.Remove == "" {
-		return nil
-	}
-	if r.Add != "" {
-		added, err := l.instance.config.Settings.Instance(r.Add)
-		if err != nil || added.Data == "" {
-			return fault.New(fault.InvalidChange, "the settings name no instance %q with a data folder", r.Add)
-		}
-		voters = append(voters, r.Add)
-	}
-	if r.Remove != "" {
-		voters = slices.DeleteFunc(voters, func(name string) bool { return name == r.Remove })
-	}
-	if _, err := l.replica.ProposeVoters(now, voters); err != nil {
-		return err
-	}
-	reply.Voters = voters
-	return nil
-}
-
 // Stats returns every counter.
 func (s *server) Stats(ctx context.Context, _ *wire.StatsRequest) (*wire.StatsReply, error) {
 	leave, err := s.enter(ctx)
@@ -368,76 +299,3 @@
 		i.counters.Gauge(name).Update(int64(value))
 	}
 }
-
-// Why explains. The asked entry asks the others too, and works out again what
-// none of them has kept.
-func (s *server) Why(ctx context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
-	leave, err := s.enter(ctx)
-	if err != nil {
-		return nil, err
-	}
-	defer leave()
-	reply := &wire.WhyReply{}
-	switch r.Matter {
-	case "flow":
-		s.whyFlow(ctx, r, reply)
-	case "request":
-		reply.Decisions = s.instance.ring.Find(mostDecisions, func(d *wire.Decision) bool { return d.Subject == r.Target })
-	case "refused":
-		reply.Decisions = s.instance.ring.Find(mostDecisions, refused)
-	default:
-		return nil, fault.New(fault.Usage, "unknown matter %q", r.Matter)
-	}
-	if !r.Local {
-		s.whyElsewhere(ctx, r, reply)
-	}
-	slices.SortStableFunc(reply.Decisions, func(a, b *wire.Decision) int { return int(a.UnixNano/1000 - b.UnixNano/1000) })
-	return reply, nil
-}
-
-func refused(d *wire.Decision) bool {
-	return d.Action == "drop" || d.Action == "reset" || d.Action == "refused" || d.Action == "unknown"
-}
-
-func (s *server) whyElsewhere(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
-	ask := &wire.WhyRequest{Matter: r.Matter, Source: r.Source, Target: r.Target, Protocol: r.Protocol, Local: true}
-	for _, other := range s.instance.config.Settings.Instances {
-		if other.Name == s.instance.self.Name {
-			continue
-		}
-		client, err := s.instance.dialer.clientOf(ctx, other.Control, "operator")
-		if err != nil {
-			reply.Lines = append(reply.Lines, other.Name+" could not be asked: "+err.Error())
-			continue
-		}
-		got, err := client.Why(ctx, ask)
-		if err != nil {
-			reply.Lines = append(reply.Lines, other.Name+" did not answer: "+err.Error())
-			continue
-		}
-		reply.Decisions = append(reply.Decisions, got.Decisions...)
-	}
-}
-
-// whyFlow adds the kept decisions on a flow and, on the asked entry, what it
-// would decide now.
-func (s *server) whyFlow(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
-	subject := r.Protocol + " " + r.Source + " " + r.Target
-	reply.Decisions = s.instance.ring.Find(mostDecisions, func(d *wire.Decision) bool { return d.Subject == subject })
-	answer := make(chan *wire.Decision, 1)
-	query := func(core *entry.Core) {
-		answer <- explain.Recompute(s.instance.now(), s.instance.self.Name, core.Flow(), r)
-	}
-	select {
-	case s.instance.traffic.queries <- query:
-	case <-ctx.Done():
-		return
-	}
-	select {
-	case d := <-answer:
-		if d != nil {
-			reply.Decisions = append(reply.Decisions, d)
-		}
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/instance/voters.go
@@ -0,0 +1,77 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// Voters shows or changes the control instances.
+func (s *server) Voters(ctx context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
+	leave, err := s.enter(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	if reply, err := s.votersHere(ctx, r); err == nil || r.Forwarded {
+		return reply, nil
+	}
+	forwarded := &wire.VotersRequest{Add: r.Add, Remove: r.Remove, Forwarded: true}
+	for _, target := range s.controlTargets(ctx) {
+		client, err := s.instance.dialer.clientOf(ctx, target, "operator")
+		if err != nil {
+			continue
+		}
+		if got, err := client.Voters(ctx, forwarded); err == nil && got.Kind != fault.NotCurrent.Name() {
+			return got, nil
+		}
+	}
+	return &wire.VotersReply{Kind: fault.NoQuorum.Name(), Detail: "no control instance could decide"}, nil
+}
+
+func (s *server) votersHere(ctx context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
+	err := fault.New(fault.NotCurrent, "%s is no control instance", s.instance.self.Name)
+	reply := &wire.VotersReply{}
+	if l := s.instance.leader; l != nil {
+		if callErr := l.calls.call(ctx, func(now time.Time) { err = l.changeVoters(now, r, reply) }); callErr != nil {
+			err = fault.Wrap(fault.NoQuorum, callErr)
+		}
+	}
+	if err != nil {
+		reply.Kind, reply.Detail = fault.KindOf(err).Name(), err.Error()
+		if fault.KindOf(err) != fault.NotCurrent {
+			return reply, nil // this is the leader's answer
+		}
+	}
+	return reply, err
+}
+
+// changeVoters adds or removes one control instance, or only lists them.
+func (l *leaderLoop) changeVoters(now time.Time, r *wire.VotersRequest, reply *wire.VotersReply) error {
+	if !l.replica.Current(now) {
+		return fault.New(fault.NotCurrent, "%s is not the current leader", l.instance.self.Name)
+	}
+	voters := slices.Clone(l.replica.Voters())
+	reply.Kind, reply.Voters = "accepted", voters
+	if r.Add == "" && r.Remove == "" {
+		return nil
+	}
+	if r.Add != "" {
+		added, err := l.instance.config.Settings.Instance(r.Add)
+		if err != nil || added.Data == "" {
+			return fault.New(fault.InvalidChange, "the settings name no instance %q with a data folder", r.Add)
+		}
+		voters = append(voters, r.Add)
+	}
+	if r.Remove != "" {
+		voters = slices.DeleteFunc(voters, func(name string) bool { return name == r.Remove })
+	}
+	if _, err := l.replica.ProposeVoters(now, voters); err != nil {
+		return err
+	}
+	reply.Voters = voters
+	return nil
+}
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -38,6 +38,7 @@
 	light    []*lightInstance
 	control  []*instance.Instance
 	asked    int // which control instance is asked
+	now      func() time.Time
 }
 
 type lightInstance struct {
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &lightFleet{folder: folder, settings: settings.Default()}
+	f := &lightFleet{folder: folder, now: now, settings: settings.Default()}
 	f.settings.HashKey = "000102030405060708090a0b0c0d0e0f"
 	f.settings.Fabric = netip.MustParseAddrPort("127.0.0.1:9")
 	for n := range 3 {
@@ -145,8 +146,8 @@
 
 // settle waits until all light instances are listed and up to date.
 func (f *lightFleet) settle(ctx context.Context) error {
-	end := time.Now().Add(fleetWait)
-	for time.Now().Before(end) {
+	end := f.now().Add(fleetWait)
+	for f.now().Before(end) {
 		s, err := f.status(ctx)
 		if err == nil && len(s.Members) == len(f.light)+len(f.settings.Instances) && s.Active == s.Commit {
 			return nil
@@ -213,8 +214,8 @@
 }
 
 func (f *lightFleet) awaitActive(revision uint64) error {
-	end := time.Now().Add(fleetWait)
-	for time.Now().Before(end) {
+	end := f.now().Add(fleetWait)
+	for f.now().Before(end) {
 		behind := 0
 		for _, l := range f.light {
 			if l.active.Load() < revision {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -66,8 +66,9 @@
 	return netip.AddrPortFrom(ip, uint16(firstPort+n%ports))
 }
 
-// Flow opens one TCP flow, sends on it and checks every answer, and closes it.
-func (c *Callers) Flow(ctx context.Context, f FlowConfig) {
+// listen takes a new address and returns what comes to it; a caller that is
+// too slow loses packets.
+func (c *Callers) listen() (netip.AddrPort, chan *packet.Packet) {
 	src := c.address()
 	inbox := make(chan *packet.Packet, inboxSize)
 	c.fabric.Attach(src, func(p *packet.Packet) {
@@ -76,6 +77,12 @@
 		default:
 		}
 	})
+	return src, inbox
+}
+
+// Flow opens one TCP flow, sends on it and checks every answer, and closes it.
+func (c *Callers) Flow(ctx context.Context, f FlowConfig) {
+	src, inbox := c.listen()
 	defer c.fabric.Detach(src)
 	c.ledger.flowBegan()
 	flow := &callerFlow{callers: c, tuple: packet.NewTuple(src, f.To, packet.TCP), inbox: inbox, ends: c.now().Add(f.Lasts)}
@@ -188,14 +195,7 @@
 // Request sends one request until it has a final answer or its time is over,
 // and returns "answered", "not_run", "unknown" or "silent".
 func (c *Callers) Request(ctx context.Context, r RequestConfig) string {
-	src := c.address()
-	inbox := make(chan *packet.Packet, inboxSize)
-	c.fabric.Attach(src, func(p *packet.Packet) {
-		select {
-		case inbox <- p:
-		default:
-		}
-	})
+	src, inbox := c.listen()
 	defer c.fabric.Detach(src)
 	if !r.Blocks {
 		return c.exchange(ctx, r, src, inbox, codes.POST, nil)
