Work: an owner that lets go is asked, so that a planned stop ends

Ruled out: the lease, the count of flows and the records, by a line that tells what a stop waits for; the line stays in the log. Change: the former owner that takes the work back asks for the part; what nobody asks for and holds no request does not hold up a stop.

--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	controlTick = 20 * time.Millisecond
-	beatTimeout = 600 * time.Millisecond
-	quietBeats  = 4 // with a short budget, counts go along with one beat of so many
+	controlTick  = 20 * time.Millisecond
+	beatTimeout  = 600 * time.Millisecond
+	stopLogBeats = 5 // beats between two lines on what a stop waits for
+	quietBeats   = 4 // with a short budget, counts go along with one beat of so many
 )
 
 type (
@@ -142,6 +143,11 @@
 // endStop says the last word of a planned stop once everything is handed over.
 func (c *controlLoop) endStop(view *flow.View) {
 	r := c.instance.traffic.report.Load()
+	if c.stopping && c.beats%stopLogBeats == 0 {
+		c.instance.log.Info("stopping", "leaving", c.core.Leaving(), "counted", r.count.Index, "index", view.Table.Index(),
+			"records_left", r.backlog, "work_left", r.handing, "owns", r.owns, "leader", c.core.Leader())
+		c.beats++
+	}
 	if c.stopping && c.core.MayStop(r.count, r.backlog) && !r.handing && len(view.Table.Members()) > 0 {
 		c.stopping = false
 		c.core.Stopped()
--- a/internal/instance/traffic.go
+++ b/internal/instance/traffic.go
@@ -37,6 +37,7 @@
 		count   flow.Count
 		backlog uint64
 		handing bool
+		owns    string // what is left to hand over, for the log
 		flows   flow.Stats
 		work    work.Stats
 	}
@@ -174,7 +175,7 @@
 	}
 	stats := t.core.Flow().Stats()
 	t.report.Store(&report{
-		count: t.core.Flow().LastCount(), backlog: stats.PushBacklog, handing: t.core.Work().Handing(),
+		count: t.core.Flow().LastCount(), backlog: stats.PushBacklog, handing: t.core.Work().Handing(now), owns: t.core.Work().Owns(),
 		flows: stats, work: t.core.Work().Stats(),
 	})
 }
--- a/internal/slopes/fleet_bench_test.go
+++ b/internal/slopes/fleet_bench_test.go
@@ -96,3 +96,28 @@
 		b.ReportMetric(time.Since(began).Seconds(), "s-to-in-force")
 	}
 }
+
+// BenchmarkCatchUp measures how long an entry that begins with nothing needs
+// after 500 changes. Run with -benchtime 1x.
+func BenchmarkCatchUp(b *testing.B) {
+	const changes = 500
+	f := newBenchFleet(b)
+	var revision uint64
+	for n := range changes {
+		var err error
+		if revision, err = f.submit(context.Background(), fmt.Sprint("c", n), templateObject(n%50)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for b.Loop() {
+		ctx, cancel := context.WithCancel(context.Background())
+		late := &lightInstance{name: "late", domain: "d0"}
+		began := time.Now()
+		f.group.Go(func() { late.run(ctx, f.settings, time.Now) })
+		for late.index.Load() < revision && time.Since(began) < time.Minute {
+			time.Sleep(watchEvery)
+		}
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-to-catch-up")
+		cancel()
+	}
+}
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -93,7 +93,7 @@
 	e.entry.Tick(e.world.now)
 	e.flush()
 	stats := e.entry.Flow().Stats()
-	if e.member.MayStop(e.entry.Flow().LastCount(), stats.PushBacklog) && !e.entry.Work().Handing() {
+	if e.member.MayStop(e.entry.Flow().LastCount(), stats.PushBacklog) && !e.entry.Work().Handing(e.world.now) {
 		e.member.Stopped()
 		e.beat()
 		e.alive = false
--- a/internal/work/finish.go
+++ b/internal/work/finish.go
@@ -112,6 +112,10 @@
 		o.wantedAt = now.Add(e.config.HoldRetry)
 		e.peer(o.before, &wire.Peer{Body: &wire.Peer_Wanted{Wanted: &wire.Wanted{Service: o.service, Index: o.index}}})
 	}
+	if o.absorb != "" && e.lives(o.absorb) && !now.Before(o.wantedAt) {
+		o.wantedAt = now.Add(e.config.HoldRetry)
+		e.peer(o.absorb, &wire.Peer{Body: &wire.Peer_Wanted{Wanted: &wire.Wanted{Service: o.service, Index: o.index}}})
+	}
 	if o.handover != nil {
 		e.runHandover(now, o)
 	}
--- a/internal/work/handover.go
+++ b/internal/work/handover.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"oxbowsaddle/internal/packet"
@@ -149,9 +151,25 @@
 }
 
 // Handing reports whether this entry still has to hand something over, or
-// owns work: a planned stop waits until it does not.
-func (e *Engine) Handing() bool {
-	return len(e.owned) > 0
+// owns work: a planned stop waits until it does not. What nobody has asked for
+// within a while, and holds no request, is nothing.
+func (e *Engine) Handing(now time.Time) bool {
+	for _, o := range e.owned {
+		asked := o.handover != nil || o.phase != former || now.Sub(o.formerSince) < e.config.Linger
+		if asked || len(o.requests) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Owns tells each service whose work this entry still has a part in.
+func (e *Engine) Owns() string {
+	var text strings.Builder
+	for _, o := range e.inOrder() {
+		fmt.Fprintf(&text, "%d:%s before=%s gave=%v requests=%d;", o.service, [...]string{"waiting", "serving", "former"}[o.phase], o.before, o.gaveAway, len(o.requests))
+	}
+	return text.String()
 }
 
 // takeHandover takes over one request, or begins to serve after the last.
@@ -159,6 +177,9 @@
 	e.peer(from, &wire.Peer{Body: &wire.Peer_HandedOver{HandedOver: &wire.HandedOver{Service: h.Service, Sequence: h.Sequence}}})
 	o := e.owned[h.Service]
 	s := e.view.Table.Service(h.Service)
+	if o != nil && h.Last && from == o.absorb {
+		o.absorb = ""
+	}
 	if o == nil || s == nil || o.phase != waiting || o.before != from {
 		return
 	}
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -45,6 +45,7 @@
 		handover    *outgoing
 		gaveAway    bool // another entry has been given the requests
 		formerSince time.Time
+		absorb      string // an owner in between, which is asked for its part only so that it can let go
 		wantedAt    time.Time
 	}
 
@@ -268,6 +269,9 @@
 	kept := o.phase == former && now.Sub(o.formerSince) < s.Policy().RequestLife-e.config.Linger
 	o.index = e.view.Table.Index()
 	o.complete, o.second = false, ""
+	if kept && before != e.config.Self {
+		o.absorb = before // it needs to be asked, or it would keep its part for ever
+	}
 	switch {
 	case kept || known && (before == "" || before == e.config.Self):
 		o.phase = serving
