--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -100,8 +100,10 @@
 // checkLeaving asserts that a leaving endpoint gets no new flow after the bound.
 func (b *backend) checkLeaving(p *packet.Packet, via string) {
 	since, leaving := b.world.leaving[b.name]
-	if mended := b.world.mended[b.domain]; mended.After(since) {
-		since = mended // a domain that was cut off could not be told before
+	for _, domain := range []string{b.domain, b.world.entries[via].domain} {
+		if mended := b.world.mended[domain]; mended.After(since) {
+			since = mended // a domain that was cut off could not be told before
+		}
 	}
 	if !leaving || b.world.now.Sub(since) <= drainBound || b.world.cut[b.domain] {
 		return
