Flows: a change of owner is used in two phases too

Change: until everyone knows of the change, a new owner places new flows on the default, or lets the SYN come again where the default is leaving.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -92,6 +92,7 @@
 	flow.AskLimit:       "raise limits.asks_a_second or limits.waiting if this repeats",
 	flow.AskTimeout:     "a peer did not answer; look at its load and at the network between the entries",
 	flow.RecordLimit:    "raise limits.records, or drain fewer backend servers at a time",
+	flow.OwnerChanging:  "nothing: an entry came or goes, and the caller's SYN comes again",
 	flow.HopLimit:       "entries disagree about the live ones; it passes within a lease, else see `why lag`",
 	flow.WrongEndpoint:  "a backend server answers for a flow that another one holds; check its addresses",
 	flow.UnknownSource:  "an answer came from an address that is no endpoint; check the backend server's tunnel address",
--- a/internal/flow/engine_test.go
+++ b/internal/flow/engine_test.go
@@ -184,6 +184,36 @@
 	g.Expect(out[0].Verdict.Reason()).To(gomega.Equal(flow.NobodyKnows))
 }
 
+// While the former owner of a bucket may not know that it is not, the new one
+// places nothing that only its records would lead to.
+func TestNewOwnerWaitsUntilTheFormerOneKnows(t *testing.T) {
+	opened := table(2, func(b *route.Builder) {
+		b.RemoveMember("e0")
+		for bucket := range uint32(64) {
+			b.Move(1, bucket, 2)
+		}
+	})
+	b := route.NewBuilder(opened, 3)
+	b.PutMember(route.NewMember("e0", "d", 1, false, 3))
+	joined := b.Table()
+	for active, recorded := range map[uint64]bool{2: false, 3: true} {
+		g := gomega.NewWithT(t)
+		e := flow.New(flow.Config{Self: "e0", Domain: "d", Incarnation: 1, Flows: 1000, Records: 1000, HalfOpenLife: time.Second, SweepEvery: time.Second}, start)
+		reachable := []string{"e1", "e2"}
+		e.SetView(&flow.View{Table: opened, Active: 2, LeaseUntil: start.Add(time.Hour), Reachable: reachable})
+		e.SetView(&flow.View{Table: joined, Active: active, LeaseUntil: start.Add(time.Hour), Reachable: reachable})
+		seen := map[flow.Reason]int{}
+		for port := range uint16(60) {
+			v := e.Inbound(start, packetOf(1+port, syn))
+			seen[v.Reason()]++
+			if v.Endpoint() != nil && v.Action() == flow.Forward {
+				g.Expect(v.Endpoint().Name()).To(gomega.Equal("b0"), "the default")
+			}
+		}
+		g.Expect(seen[flow.ToSecond] > 0).To(gomega.Equal(recorded), "active %d: %v", active, seen)
+	}
+}
+
 func BenchmarkDecisionOnAHit(b *testing.B) {
 	for _, flows := range []int{1, 64} {
 		b.Run(fmt.Sprint(flows, " flows in turn"), func(b *testing.B) {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -54,6 +54,7 @@
 	NotHeld
 	CrossService
 	EndpointFull
+	OwnerChanging
 	reasonCount
 )
 
@@ -113,7 +114,7 @@
 		"by_cache", "by_record", "by_settled", "by_default", "by_new", "by_answer", "by_peer", "by_island",
 		"to_owner", "to_second", "to_leased", "asked_peers",
 		"unknown_service", "no_endpoint", "no_lease", "nobody_knows", "withheld_cut", "ask_limit", "ask_timeout",
-		"record_limit", "hop_limit", "wrong_endpoint", "unknown_source", "not_held", "cross_service", "endpoint_full",
+		"record_limit", "hop_limit", "wrong_endpoint", "unknown_source", "not_held", "cross_service", "endpoint_full", "owner_changing",
 	}
 )
 
--- a/internal/flow/holder.go
+++ b/internal/flow/holder.go
@@ -20,7 +20,10 @@
 	// holding is what this entry knows as owner or second holder of a bucket.
 	holding struct {
 		complete bool // it has every record that there is
-		flows    map[route.FlowID]struct{}
+		// ownedSince is the index at which the bucket came over from an owner
+		// that still lives.
+		ownedSince uint64
+		flows      map[route.FlowID]struct{}
 	}
 )
 
@@ -151,16 +154,21 @@
 	if !e.listed(next.Table) {
 		return
 	}
+	oldOwner, oldSecond := holdersOf(previous.Table, key)
+	if owner.name == e.config.Self && oldOwner != owner && firstAlive(next.Table, oldOwner) != "" {
+		// The former owner lives and may not know yet: see newFlow.
+		e.holdingOf(key).ownedSince = next.Table.Index()
+	}
+	same := owner == oldOwner && second == oldSecond
 	if !wasOpen {
 		if owner.name == e.config.Self || second.name == e.config.Self {
-			// It was settled until now, so no flow of it can be elsewhere,
-			// if this entry has seen the opening itself.
-			e.holdingOf(key).complete = e.listed(previous.Table) && !previous.Table.Suspect()
+			// It was settled until now, so no flow of it can be elsewhere, if
+			// this entry has seen the opening itself and held it then.
+			e.holdingOf(key).complete = same && e.listed(previous.Table) && !previous.Table.Suspect()
 		}
 		return
 	}
-	oldOwner, oldSecond := holdersOf(previous.Table, key)
-	if owner == oldOwner && second == oldSecond {
+	if same {
 		return
 	}
 	heir := firstAlive(next.Table, oldOwner, oldSecond)
--- a/internal/flow/newflow.go
+++ b/internal/flow/newflow.go
@@ -16,9 +16,24 @@
 	if endpoint == t.Default && everybodysDefault {
 		return e.forward(now, v, p, endpoint, ByNew)
 	}
+	if h := e.byHeld[bucketKey{v.service.ID(), v.bucket}]; h != nil && h.ownedSince > e.view.Active {
+		return e.newOwnersFlow(now, v, p, t, everybodysDefault)
+	}
 	return e.recordNew(now, v, p, endpoint, second)
 }
 
+// newOwnersFlow places a new flow while the former owner of its bucket may not
+// know yet that it is not: asked for the flow, it would take the default for
+// granted. So the flow goes there, or waits for its SYN to come again.
+func (e *Engine) newOwnersFlow(now time.Time, v Verdict, p *packet.Packet, t route.Transition, everybodysDefault bool) Verdict {
+	byDefault := e.view.Table.Endpoint(t.Default)
+	if everybodysDefault && byDefault != nil && !byDefault.Leaving() {
+		return e.forward(now, v, p, t.Default, ByNew)
+	}
+	v.action, v.reason = Drop, OwnerChanging
+	return v
+}
+
 // recordNew places a new flow where only records lead to: both holders have
 // one before its first packet reaches the endpoint, since the packet goes by
 // the second.
