An island waits until every lease elsewhere knows of the cut; nothing repeatable is denied around one

Change: island_after is at least a lease with two margins and two beats, checked in the settings (2.4 s by default, 0.8 s before); repeatable requests are unknown instead of denied while a domain is in doubt and one life after.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -255,7 +255,7 @@
 
 // cutDomain cuts the last failure domain off for a while.
 func (r *run) cutDomain(ctx context.Context) error {
-	const lasts = 4 * time.Second
+	const lasts = 6 * time.Second // longer than a domain waits before it serves by itself
 	instances := r.fleet.settings.Instances
 	domain := instances[len(instances)-1].Domain
 	r.fleet.ledger.Unplanned()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -14,10 +14,12 @@
 type (
 	// Config sets the times of the tracker.
 	Config struct {
-		Self        string
-		Domain      string
-		HeardFor    time.Duration // a peer is reachable this long after a probe
-		IslandAfter time.Duration // a domain serves by itself this long after its leases ran out
+		Self     string
+		Domain   string
+		HeardFor time.Duration // a peer is reachable this long after a probe
+		// IslandAfter is how long after its leases ran out a domain serves by
+		// itself: by then every entry elsewhere knows of the cut or has no lease.
+		IslandAfter time.Duration
 	}
 
 	heard struct {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -104,6 +104,9 @@
 	}
 	before("beat", 2*t.Beat, t.Lease, "times.lease, twice over")
 	before("margin", t.Margin, t.Lease, "times.lease")
+	if least := t.Lease + 2*t.Margin + 2*t.Beat; t.IslandAfter < least {
+		p.add("times.island_after", "must be at least %s, a lease with two margins and two beats: until then an entry elsewhere may hold a lease and not know of the cut", least.Std())
+	}
 	before("probe", t.Probe, t.HeardFor, "times.heard_for")
 	before("log_heartbeat", 2*t.LogHeartbeat, t.LogLease, "times.log_lease, twice over")
 	before("log_drift", t.LogDrift, t.LogLease, "times.log_lease")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,7 +134,7 @@
 			RequestBytes: 1152, HeldAtPeer: 40_000, RetryFloor: 10,
 		},
 		Times: Times{
-			Beat: 300 * ms, Probe: 400 * ms, Lease: 1500 * ms, Margin: 150 * ms, HeardFor: 1300 * ms, IslandAfter: 800 * ms,
+			Beat: 300 * ms, Probe: 400 * ms, Lease: 1500 * ms, Margin: 150 * ms, HeardFor: 1300 * ms, IslandAfter: 2400 * ms,
 			SettleAfter: 2500 * ms, ReturnWait: 5000 * ms, PlaceEvery: 250 * ms, SweepEvery: 1000 * ms,
 			AskTimeout: 60 * ms, PushRetry: 250 * ms, HalfOpenLife: 2000 * ms,
 			LogHeartbeat: 100 * ms, LogLease: 600 * ms, LogDrift: 60 * ms,
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -32,7 +32,7 @@
 	e := &instance{world: w, name: name, domain: domain, incarnation: incarnation, alive: true}
 	e.member = member.New(member.Config{
 		Name: name, Domain: domain, Incarnation: incarnation,
-		Peers: peer.Config{Self: name, Domain: domain, HeardFor: 700 * time.Millisecond, IslandAfter: 800 * time.Millisecond},
+		Peers: peer.Config{Self: name, Domain: domain, HeardFor: 700 * time.Millisecond, IslandAfter: lease + 2*margin + 2*beatEvery},
 	})
 	e.entry = entry.New(entry.Config{
 		Flow: flow.Config{
--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -218,6 +218,10 @@
 	if o == nil {
 		return
 	}
+	if previous.Suspect() || e.view.Table.Suspect() {
+		// A domain that serves by itself may run what may be repeated.
+		o.doubtUntil = now.Add(s.Policy().RequestLife)
+	}
 	o.endpoints = workEndpoints(e.view.Table, s)
 	for _, r := range o.active {
 		r.class = classOf(s, r)
