--- a/internal/work/owner.go
+++ b/internal/work/owner.go
@@ -215,9 +215,13 @@
 		e.drop(o)
 		return
 	}
-	if o == nil {
-		return
+	if o != nil {
+		e.refresh(now, s, o, previous)
 	}
+}
+
+// refresh brings what an ownership holds of the table up to date.
+func (e *Engine) refresh(now time.Time, s *route.Service, o *ownership, previous *route.Table) {
 	if previous.Suspect() || e.view.Table.Suspect() {
 		// A domain that serves by itself may run what may be repeated.
 		o.doubtUntil = now.Add(s.Policy().RequestLife)
