--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -121,3 +124,34 @@
 		Plan(table.Service(service), weights, 2, 10)
 	}
 }
+
+// BenchmarkImbalance gives random flows to the buckets of a placed service and
+// reports the highest endpoint over the mean: median and 99th percentile of
+// many draws. Run with -benchtime 1x.
+func BenchmarkImbalance(b *testing.B) {
+	const endpoints, draws = 14, 400
+	for _, flows := range []int{1_000 * endpoints, 30_000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			table := newTable(endpoints)
+			table = apply(table, Plan(table.Service(service), equalWeights(endpoints), 1, 10), 2)
+			s := table.Service(service)
+			for b.Loop() {
+				rng := rand.New(rand.NewPCG(1, 2))
+				var ratios []float64
+				for range draws {
+					held := map[uint32]int{}
+					highest := 0
+					for range flows {
+						e := s.Current(s.Bucket(route.FlowID{High: rng.Uint64()}))
+						held[e]++
+						highest = max(highest, held[e])
+					}
+					ratios = append(ratios, float64(highest)*endpoints/float64(flows))
+				}
+				slices.Sort(ratios)
+				b.ReportMetric(ratios[draws/2], "median")
+				b.ReportMetric(ratios[draws*99/100], "p99")
+			}
+		})
+	}
+}
