Why shows request steps in order and names the index in use

Cause: a trial of the shipped example, read with `why request`, showed two steps of one microsecond the wrong way round ("dispatched" before "queued") and every step "in use 0", because a request's decision left the field empty. Stopping all three entries at once waited 20 s and answered "internal: report this", though it is what stop_timeout is for.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -4,6 +4,7 @@
 package explain
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,8 @@
 	r.next = (r.next + 1) % len(r.decisions)
 }
 
-// Find returns the decisions that match, the newest first, at most so many.
+// Find returns the newest decisions that match, at most so many, in the order
+// in which they were taken.
 func (r *Ring) Find(most int, match func(*wire.Decision) bool) []*wire.Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,6 +46,7 @@
 			found = append(found, d)
 		}
 	}
+	slices.Reverse(found)
 	return found
 }
 
@@ -126,14 +129,14 @@
 }
 
 // Work describes a step of a request.
-func Work(now time.Time, entry string, e work.Event, endpoint string, index uint64) *wire.Decision {
+func Work(now time.Time, entry string, e work.Event, endpoint string, index, active uint64) *wire.Decision {
 	step := "nothing: this is normal"
 	if s, ok := workSteps[e.Cause]; ok {
 		step = s
 	}
 	return &wire.Decision{
 		UnixNano: now.UnixNano(), Entry: entry, Subject: Token(e.Token), Action: e.State.String(), Reason: e.Cause.String(),
-		Endpoint: endpoint, Index: index, NextStep: step, Parameter: "first, queue_limit, lowest_share and request_life of the team",
+		Endpoint: endpoint, Index: index, Active: active, NextStep: step, Parameter: "first, queue_limit, lowest_share and request_life of the team",
 	}
 }
 
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -29,6 +29,7 @@
 	PromiseBroken
 	NotFound
 	NeedsConfirmation
+	HandoverUnfinished
 	kindCount
 )
 
@@ -45,20 +46,21 @@
 
 // answers is the table from kind to answer; every kind has a row.
 var answers = [kindCount]Answer{
-	Internal:          {"internal", 1, "report this with the log line of the same time"},
-	Usage:             {"usage", 2, "run the command with --help"},
-	InvalidSettings:   {"invalid settings", 3, "mend each listed field, then run `oxbowsaddle settings check FILE`"},
-	InvalidChange:     {"invalid", 4, "mend each listed fault and accept again with a new change id"},
-	Conflict:          {"conflict", 5, "read the winner with `oxbowsaddle status --output json`, then accept again on its revision"},
-	NoQuorum:          {"no quorum", 6, "send the same change id again; it is never applied twice"},
-	NotCurrent:        {"not current", 7, "ask another control instance, or wait until this one hears a majority again"},
-	Unreachable:       {"unreachable", 8, "check the control address and that the instance runs"},
-	AddressInUse:      {"address in use", 9, "free the address or name another one in the settings"},
-	DataFolder:        {"data folder", 10, "make the data folder writable and leave it free space; nothing accepted was lost"},
-	DamagedLog:        {"damaged log", 11, "move the data folder away and start the instance empty; it is caught up by the others"},
-	PromiseBroken:     {"promise broken", 12, "the report names the promise; keep the seed and report it"},
-	NotFound:          {"not found", 13, "check the name with `oxbowsaddle status`"},
-	NeedsConfirmation: {"needs confirmation", 14, "read the warning; repeat with --confirm if it is meant"},
+	Internal:           {"internal", 1, "report this with the log line of the same time"},
+	Usage:              {"usage", 2, "run the command with --help"},
+	InvalidSettings:    {"invalid settings", 3, "mend each listed field, then run `oxbowsaddle settings check FILE`"},
+	InvalidChange:      {"invalid", 4, "mend each listed fault and accept again with a new change id"},
+	Conflict:           {"conflict", 5, "read the winner with `oxbowsaddle status --output json`, then accept again on its revision"},
+	NoQuorum:           {"no quorum", 6, "send the same change id again; it is never applied twice"},
+	NotCurrent:         {"not current", 7, "ask another control instance, or wait until this one hears a majority again"},
+	Unreachable:        {"unreachable", 8, "check the control address and that the instance runs"},
+	AddressInUse:       {"address in use", 9, "free the address or name another one in the settings"},
+	DataFolder:         {"data folder", 10, "make the data folder writable and leave it free space; nothing accepted was lost"},
+	DamagedLog:         {"damaged log", 11, "move the data folder away and start the instance empty; it is caught up by the others"},
+	PromiseBroken:      {"promise broken", 12, "the report names the promise; keep the seed and report it"},
+	NotFound:           {"not found", 13, "check the name with `oxbowsaddle status`"},
+	NeedsConfirmation:  {"needs confirmation", 14, "read the warning; repeat with --confirm if it is meant"},
+	HandoverUnfinished: {"handover unfinished", 15, "stop entries one after the other, or raise times.stop_timeout; the second holders serve what was left"},
 }
 
 // Name returns the short name of the kind.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -157,7 +156,8 @@
 }
 
 // Stop ends the instance as planned: it announces the stop, hands over what
-// it holds, and then ends. It gives up waiting at the context's end.
+// it holds, and then ends. It gives up waiting at the context's end, with the
+// kind fault.HandoverUnfinished.
 func (i *Instance) Stop(ctx context.Context) error {
 	if i.stopped.Swap(true) {
 		return nil
@@ -168,7 +168,7 @@
 	case <-i.control.handedOver:
 	case <-i.done:
 	case <-ctx.Done():
-		err = fmt.Errorf("handover not finished: %w", ctx.Err())
+		err = fault.New(fault.HandoverUnfinished, "handover not finished: %w", ctx.Err())
 	}
 	i.Kill()
 	return err
--- a/internal/instance/traffic.go
+++ b/internal/instance/traffic.go
@@ -319,7 +319,7 @@
 	if have := view.Table.Endpoint(e.Endpoint); have != nil {
 		endpoint = have.Name()
 	}
-	d := explain.Work(now, t.instance.self.Name, e, endpoint, view.Table.Index())
+	d := explain.Work(now, t.instance.self.Name, e, endpoint, view.Table.Index(), view.Active)
 	if e.State == work.Unknown || e.State == work.Refused {
 		t.instance.log.Debug("request", "token", d.Subject, "state", d.Action, "cause", d.Reason, "service", e.Service, "index", d.Index)
 	}
