--- a/internal/slopes/measure.go
+++ b/internal/slopes/measure.go
@@ -18,7 +18,10 @@
 	"oxbowsaddle/internal/wire"
 )
 
-const endpointsEach = 4 // endpoints behind one address: 55,000 behind 15,000
+const (
+	endpointsEach = 4   // endpoints behind one address: 55,000 behind 15,000
+	beatEndpoints = 400 // endpoints placed where the slope is taken over the entries
+)
 
 var began = time.Unix(1_700_000_000, 0)
 
@@ -314,20 +317,32 @@
 	return float64(proto.Size(moves(count, 40_000))), nil
 }
 
-func placeTick(m *meter, services int) (float64, error) {
-	s, err := newState(services * endpointsEach)
-	if err != nil {
-		return 0, err
-	}
-	k, err := placed(s, 8)
+// led returns a controller that has placed so many endpoints over so many
+// entries, and the index at which it stands.
+func led(endpoints, entries int) (*controller.Controller, uint64, error) {
+	s, err := newState(endpoints)
 	if err != nil {
-		return 0, err
+		return nil, 0, err
 	}
+	k, err := placed(s, entries)
+	return k, s.Index(), err
+}
+
+// tickCost measures a tick a millisecond after the last.
+func tickCost(m *meter, k *controller.Controller) float64 {
 	now := began
 	return m.each(func() {
 		now = now.Add(time.Millisecond)
 		k.Tick(now)
-	}), nil
+	})
+}
+
+func placeTick(m *meter, services int) (float64, error) {
+	k, _, err := led(services*endpointsEach, 8)
+	if err != nil {
+		return 0, err
+	}
+	return tickCost(m, k), nil
 }
 
 func beatRequest(n int, applied uint64) *wire.BeatRequest {
@@ -335,38 +350,26 @@
 }
 
 func beatCost(m *meter, entries int) (float64, error) {
-	s, err := newState(400)
-	if err != nil {
-		return 0, err
-	}
-	k, err := placed(s, entries)
+	k, index, err := led(beatEndpoints, entries)
 	if err != nil {
 		return 0, err
 	}
 	n := 0
 	return m.each(func() {
 		n = (n + 1) % entries
-		k.Beat(began, beatRequest(n, s.Index()), true)
+		k.Beat(began, beatRequest(n, index), true)
 	}), nil
 }
 
 func tickByEntries(m *meter, entries int) (float64, error) {
-	s, err := newState(400)
-	if err != nil {
-		return 0, err
-	}
-	k, err := placed(s, entries)
+	k, index, err := led(beatEndpoints, entries)
 	if err != nil {
 		return 0, err
 	}
 	for n := range entries {
-		k.Beat(began, beatRequest(n, s.Index()), true)
+		k.Beat(began, beatRequest(n, index), true)
 	}
-	now := began
-	return m.each(func() {
-		now = now.Add(time.Millisecond)
-		k.Tick(now)
-	}), nil
+	return tickCost(m, k), nil
 }
 
 func beatBytes(_ *meter, rows int) (float64, error) {
