Commands that ask an instance are made in one place

Cause: on reading the change again, eight commands repeated the same frame (flags, connection, arguments), nine places the same status call with its kind of error, and two the way from a named kind to an error. Change: cmdAsk, askStatus and refusal stand once in cmd.go; `why lag` and `why drain` no longer have a builder of their own.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -102,6 +102,44 @@
 	return errors.Join(f(ctx, client), done())
 }
 
+// asking is one use of a command that asks an instance.
+type asking struct {
+	client wire.DRPCControlClient
+	args   []string
+	out    io.Writer
+	json   bool // a script reads the answer
+}
+
+// cmdAsk returns a command with n arguments that asks an instance.
+func cmdAsk(use, short string, n int, ask func(ctx context.Context, a asking) error) *cobra.Command {
+	var t target
+	c := &cobra.Command{
+		Use: use, Short: short, Args: exactArgs(n),
+		RunE: func(c *cobra.Command, args []string) error {
+			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
+				return ask(ctx, asking{client: client, args: args, out: c.OutOrStdout(), json: t.output == "json"})
+			})
+		},
+	}
+	t.flags(c)
+	return c
+}
+
+// askStatus asks an instance what it holds.
+func askStatus(ctx context.Context, client wire.DRPCControlClient, history bool) (*wire.StatusReply, error) {
+	s, err := client.Status(ctx, &wire.StatusRequest{History: history})
+	return s, fault.Wrap(fault.Unreachable, err)
+}
+
+// refusal returns the error of an answer that names its kind.
+func refusal(kind, detail string) error {
+	k, err := fault.FromName(kind)
+	if err != nil {
+		k = fault.Internal
+	}
+	return fault.New(k, "%s", detail)
+}
+
 func printJSON(w io.Writer, v any) error {
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
--- a/internal/cmd/cmd_accept.go
+++ b/internal/cmd/cmd_accept.go
@@ -87,9 +87,9 @@
 	return a.call(ctx, func(ctx context.Context, client wire.DRPCControlClient) error {
 		base := a.base
 		if base == 0 {
-			s, err := client.Status(ctx, &wire.StatusRequest{})
+			s, err := askStatus(ctx, client, false)
 			if err != nil {
-				return fault.Wrap(fault.Unreachable, err)
+				return err
 			}
 			base = s.Revision
 		}
@@ -119,9 +119,5 @@
 	if r.Kind == "accepted" || r.Kind == "already accepted" {
 		return nil
 	}
-	kind, err := fault.FromName(r.Kind)
-	if err != nil {
-		kind = fault.Internal
-	}
-	return fault.New(kind, "%s", r.Detail)
+	return refusal(r.Kind, r.Detail)
 }
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -29,30 +29,18 @@
 }
 
 func cmdVoters(use, short string, n int, request func([]string) *wire.VotersRequest) *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: use, Short: short, Args: exactArgs(n),
-		RunE: func(c *cobra.Command, args []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				r, err := client.Voters(ctx, request(args))
-				if err != nil {
-					return fault.Wrap(fault.Unreachable, err)
-				}
-				if r.Kind != "accepted" {
-					kind, nameErr := fault.FromName(r.Kind)
-					if nameErr != nil {
-						kind = fault.Internal
-					}
-					return fault.New(kind, "%s", r.Detail)
-				}
-				if t.output == "json" {
-					return printJSON(c.OutOrStdout(), r.Voters)
-				}
-				fmt.Fprintln(c.OutOrStdout(), r.Voters)
-				return nil
-			})
-		},
-	}
-	t.flags(c)
-	return c
+	return cmdAsk(use, short, n, func(ctx context.Context, a asking) error {
+		r, err := a.client.Voters(ctx, request(a.args))
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err)
+		}
+		if r.Kind != "accepted" {
+			return refusal(r.Kind, r.Detail)
+		}
+		if a.json {
+			return printJSON(a.out, r.Voters)
+		}
+		fmt.Fprintln(a.out, r.Voters)
+		return nil
+	})
 }
--- a/internal/cmd/cmd_history.go
+++ b/internal/cmd/cmd_history.go
@@ -15,31 +15,23 @@
 
 // cmdHistory lists accepted changes.
 func cmdHistory() *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: "history", Short: "list the accepted changes, the oldest first", Args: exactArgs(0),
-		RunE: func(c *cobra.Command, _ []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := client.Status(ctx, &wire.StatusRequest{History: true})
-				if err != nil {
-					return fault.Wrap(fault.Unreachable, err)
-				}
-				if t.output == "json" {
-					return printJSON(c.OutOrStdout(), s.History)
-				}
-				for _, h := range s.History {
-					fmt.Fprintf(c.OutOrStdout(), "revision %d, %s, by %s, change %s:", h.Revision, time.Unix(0, h.UnixNano).UTC().Format(time.RFC3339), h.Change.Author, h.Change.Id)
-					for _, o := range h.Change.Objects {
-						fmt.Fprintf(c.OutOrStdout(), " %s %s", o.Kind, o.Name)
-					}
-					fmt.Fprintln(c.OutOrStdout())
-				}
-				return nil
-			})
-		},
-	}
-	t.flags(c)
-	return c
+	return cmdAsk("history", "list the accepted changes, the oldest first", 0, func(ctx context.Context, a asking) error {
+		s, err := askStatus(ctx, a.client, true)
+		if err != nil {
+			return err
+		}
+		if a.json {
+			return printJSON(a.out, s.History)
+		}
+		for _, h := range s.History {
+			fmt.Fprintf(a.out, "revision %d, %s, by %s, change %s:", h.Revision, time.Unix(0, h.UnixNano).UTC().Format(time.RFC3339), h.Change.Author, h.Change.Id)
+			for _, o := range h.Change.Objects {
+				fmt.Fprintf(a.out, " %s %s", o.Kind, o.Name)
+			}
+			fmt.Fprintln(a.out)
+		}
+		return nil
+	})
 }
 
 // findChange returns the accepted change of a revision.
@@ -48,9 +40,9 @@
 	if err != nil {
 		return nil, usageError{fmt.Errorf("revision %q is not a number", revision)}
 	}
-	s, err := client.Status(ctx, &wire.StatusRequest{History: true})
+	s, err := askStatus(ctx, client, true)
 	if err != nil {
-		return nil, fault.Wrap(fault.Unreachable, err)
+		return nil, err
 	}
 	for _, h := range s.History {
 		if h.Revision == number {
@@ -62,28 +54,20 @@
 
 // cmdDiff shows what a change altered.
 func cmdDiff() *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: "diff REVISION", Short: "show what an accepted change altered", Args: exactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				h, err := findChange(ctx, client, args[0])
-				if err != nil {
-					return err
-				}
-				for n, o := range h.Change.Objects {
-					what := "new"
-					if before := h.Before[n]; !before.Remove {
-						what = intent.Difference(before.Body, o.Body)
-					}
-					fmt.Fprintf(c.OutOrStdout(), "%s %s: %s\n", o.Kind, o.Name, what)
-				}
-				return nil
-			})
-		},
-	}
-	t.flags(c)
-	return c
+	return cmdAsk("diff REVISION", "show what an accepted change altered", 1, func(ctx context.Context, a asking) error {
+		h, err := findChange(ctx, a.client, a.args[0])
+		if err != nil {
+			return err
+		}
+		for n, o := range h.Change.Objects {
+			what := "new"
+			if before := h.Before[n]; !before.Remove {
+				what = intent.Difference(before.Body, o.Body)
+			}
+			fmt.Fprintf(a.out, "%s %s: %s\n", o.Kind, o.Name, what)
+		}
+		return nil
+	})
 }
 
 // cmdRevert offers what a change altered as it was before, as a new change.
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -43,9 +43,9 @@
 	const pause = 100 * time.Millisecond
 	end := now().Add(wait)
 	for {
-		s, err := client.Status(ctx, &wire.StatusRequest{})
+		s, err := askStatus(ctx, client, false)
 		if err != nil {
-			return nil, fault.Wrap(fault.Unreachable, err)
+			return nil, err
 		}
 		if wait == 0 || s.Active >= s.Revision && s.Revision > 0 {
 			return s, nil
--- a/internal/cmd/cmd_team.go
+++ b/internal/cmd/cmd_team.go
@@ -22,9 +22,9 @@
 				return err
 			}
 			return a.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := client.Status(ctx, &wire.StatusRequest{})
+				s, err := askStatus(ctx, client, false)
 				if err != nil {
-					return fault.Wrap(fault.Unreachable, err)
+					return err
 				}
 				printPlan(c, s, objects)
 				reply, err := client.Submit(ctx, &wire.Change{Id: "plan", Base: s.Revision, Objects: objects, Plan: true, Confirmed: a.confirm})
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 
 	"github.com/spf13/cobra"
 
@@ -20,57 +21,41 @@
 }
 
 func cmdTemplateList() *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: "list", Short: "list the accepted templates", Args: exactArgs(0),
-		RunE: func(c *cobra.Command, _ []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				templates, err := acceptedTemplates(ctx, client)
-				if err != nil {
-					return err
-				}
-				for _, o := range templates {
-					var body intent.Template
-					if err := json.Unmarshal(o.Object.Body, &body); err != nil {
-						return fault.Wrap(fault.Internal, err)
-					}
-					fmt.Fprintf(c.OutOrStdout(), "%s\trevision %d by %s\t%s\n", o.Object.Name, o.Revision, o.Author, body.About)
-				}
-				return nil
-			})
-		},
-	}
-	t.flags(c)
-	return c
+	return cmdAsk("list", "list the accepted templates", 0, func(ctx context.Context, a asking) error {
+		templates, err := acceptedTemplates(ctx, a.client)
+		if err != nil {
+			return err
+		}
+		for _, o := range templates {
+			var body intent.Template
+			if err := json.Unmarshal(o.Object.Body, &body); err != nil {
+				return fault.Wrap(fault.Internal, err)
+			}
+			fmt.Fprintf(a.out, "%s\trevision %d by %s\t%s\n", o.Object.Name, o.Revision, o.Author, body.About)
+		}
+		return nil
+	})
 }
 
 func cmdTemplateShow() *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: "show NAME", Short: "show a template with bounds and defaults of every parameter", Args: exactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				templates, err := acceptedTemplates(ctx, client)
-				if err != nil {
-					return err
-				}
-				for _, o := range templates {
-					if o.Object.Name == args[0] {
-						return printTemplate(c, o)
-					}
-				}
-				return fault.New(fault.NotFound, "there is no template %q", args[0])
-			})
-		},
-	}
-	t.flags(c)
-	return c
+	return cmdAsk("show NAME", "show a template with bounds and defaults of every parameter", 1, func(ctx context.Context, a asking) error {
+		templates, err := acceptedTemplates(ctx, a.client)
+		if err != nil {
+			return err
+		}
+		for _, o := range templates {
+			if o.Object.Name == a.args[0] {
+				return printTemplate(a.out, o)
+			}
+		}
+		return fault.New(fault.NotFound, "there is no template %q", a.args[0])
+	})
 }
 
 func acceptedTemplates(ctx context.Context, client wire.DRPCControlClient) ([]*wire.StoredObject, error) {
-	s, err := client.Status(ctx, &wire.StatusRequest{})
+	s, err := askStatus(ctx, client, false)
 	if err != nil {
-		return nil, fault.Wrap(fault.Unreachable, err)
+		return nil, err
 	}
 	var found []*wire.StoredObject
 	for _, o := range s.Objects {
@@ -81,7 +66,7 @@
 	return found, nil
 }
 
-func printTemplate(c *cobra.Command, o *wire.StoredObject) error {
+func printTemplate(w io.Writer, o *wire.StoredObject) error {
 	var body intent.Template
 	if err := json.Unmarshal(o.Object.Body, &body); err != nil {
 		return fault.Wrap(fault.Internal, err)
@@ -98,7 +83,7 @@
 		if p.Default != nil {
 			preset = p.Default.Number()
 		}
-		fmt.Fprintf(c.OutOrStdout(), "%-15s %s to %s, default %s\n    %s\n", s.Name, s.Format(low), s.Format(high), s.Format(preset), s.Doc)
+		fmt.Fprintf(w, "%-15s %s to %s, default %s\n    %s\n", s.Name, s.Format(low), s.Format(high), s.Format(preset), s.Doc)
 	}
 	return nil
 }
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -19,7 +19,7 @@
 		cmdWhyFlow(),
 		cmdWhyMatter("request TOKEN", "explain a request by its token in hexadecimal digits", 1, "request"),
 		cmdWhyMatter("refused", "explain the last refusals and losses", 0, "refused"),
-		cmdWhyStatus("lag", "tell which instances lag, and since when", printLag),
+		cmdWhyLag(),
 		cmdWhyDrain(),
 	)
 	return c
@@ -99,22 +99,14 @@
 	fmt.Fprintln(w, "  next:", d.NextStep)
 }
 
-func cmdWhyStatus(use, short string, show func(io.Writer, *wire.StatusReply) error) *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: use, Short: short, Args: exactArgs(0),
-		RunE: func(c *cobra.Command, _ []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := client.Status(ctx, &wire.StatusRequest{})
-				if err != nil {
-					return fault.Wrap(fault.Unreachable, err)
-				}
-				return show(c.OutOrStdout(), s)
-			})
-		},
-	}
-	t.flags(c)
-	return c
+func cmdWhyLag() *cobra.Command {
+	return cmdAsk("lag", "tell which instances lag, and since when", 0, func(ctx context.Context, a asking) error {
+		s, err := askStatus(ctx, a.client, false)
+		if err != nil {
+			return err
+		}
+		return printLag(a.out, s)
+	})
 }
 
 // printLag names who lags and what each of them keeps from being in use.
@@ -143,31 +135,26 @@
 }
 
 func cmdWhyDrain() *cobra.Command {
-	var t target
-	c := &cobra.Command{
-		Use: "drain ENDPOINT", Short: "tell what a leaving endpoint still waits for", Args: exactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
-			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := client.Status(ctx, &wire.StatusRequest{})
-				if err != nil {
-					return fault.Wrap(fault.Unreachable, err)
-				}
-				for _, d := range s.Drains {
-					if d.Endpoint != args[0] {
-						continue
-					}
-					if d.Buckets == 0 {
-						fmt.Fprintf(c.OutOrStdout(), "%s waits for nothing: it can be taken away\n", d.Endpoint)
-						return nil
-					}
-					fmt.Fprintf(c.OutOrStdout(), "%s has been leaving for %s and gets no new work; up to %d flows in %d buckets still use it or are not counted yet\n"+
-						"next: wait, or lower drain_deadline of the team to cut them\n", d.Endpoint, time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
-					return nil
-				}
-				return fault.New(fault.NotFound, "no endpoint %q is leaving", args[0])
-			})
-		},
+	return cmdAsk("drain ENDPOINT", "tell what a leaving endpoint still waits for", 1, func(ctx context.Context, a asking) error {
+		s, err := askStatus(ctx, a.client, false)
+		if err != nil {
+			return err
+		}
+		for _, d := range s.Drains {
+			if d.Endpoint == a.args[0] {
+				printDrain(a.out, d)
+				return nil
+			}
+		}
+		return fault.New(fault.NotFound, "no endpoint %q is leaving", a.args[0])
+	})
+}
+
+func printDrain(w io.Writer, d *wire.DrainStatus) {
+	if d.Buckets == 0 {
+		fmt.Fprintf(w, "%s waits for nothing: it can be taken away\n", d.Endpoint)
+		return
 	}
-	t.flags(c)
-	return c
+	fmt.Fprintf(w, "%s has been leaving for %s and gets no new work; up to %d flows in %d buckets still use it or are not counted yet\n"+
+		"next: wait, or lower drain_deadline of the team to cut them\n", d.Endpoint, time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
 }
