A checker works out its share once for each table

Cause: on reading the change again, each round of health checks ranked every entry of the failure domain for every endpoint of it, whether anything had changed or not, and the budget for control does not see that time. Change: the share is kept with the table it was worked out from; the ranking of an endpoint ends once two entries are found to come before. getJSON decodes into a value instead of calling back. The checks' own time is still not measured and not in the budget.

--- a/internal/instance/checker.go
+++ b/internal/instance/checker.go
@@ -24,6 +24,8 @@
 	checker struct {
 		instance *Instance
 		client   *http.Client
+		table    *route.Table      // that the share was worked out from
+		share    []*route.Endpoint // what this entry checks
 	}
 
 	// healthAnswer is what a backend server tells of one endpoint.
@@ -62,10 +64,18 @@
 	}
 }
 
-// mine returns the endpoints that this entry checks: the entries of their
-// failure domain are ranked for each, and two of them check it.
+// mine returns the endpoints that this entry checks, worked out once for each
+// table.
 func (c *checker) mine() []*route.Endpoint {
-	table := c.instance.view.Load().Table
+	if table := c.instance.view.Load().Table; table != c.table {
+		c.table, c.share = table, c.shareOf(table)
+	}
+	return c.share
+}
+
+// shareOf ranks the entries of an endpoint's failure domain for each endpoint;
+// two of them check it.
+func (c *checker) shareOf(table *route.Table) []*route.Endpoint {
 	var local []route.Member
 	for _, m := range table.Members() {
 		if m.Domain() == c.instance.self.Domain {
@@ -88,11 +98,14 @@
 	mine := siphash.Hash(uint64(endpoint), 0, []byte(c.instance.self.Name))
 	better := 0
 	for _, m := range local {
-		if siphash.Hash(uint64(endpoint), 0, []byte(m.Name())) > mine {
-			better++
+		if siphash.Hash(uint64(endpoint), 0, []byte(m.Name())) <= mine {
+			continue
+		}
+		if better++; better == checkersEach {
+			return false // most are told by a few of the entries
 		}
 	}
-	return better < checkersEach
+	return true
 }
 
 // check asks the endpoints, a few at a time.
@@ -115,7 +128,7 @@
 func (c *checker) ask(ctx context.Context, e *route.Endpoint) *wire.EndpointLoad {
 	const mostBytes = 4096
 	var a healthAnswer
-	err := getJSON(ctx, c.client, fmt.Sprintf("http://%s/health", e.Health()), mostBytes, func(d *json.Decoder) error { return d.Decode(&a) })
+	err := getJSON(ctx, c.client, fmt.Sprintf("http://%s/health", e.Health()), mostBytes, &a)
 	if err != nil {
 		c.instance.counters.Counter("check_failures").Inc(1)
 		return &wire.EndpointLoad{Endpoint: e.ID()}
@@ -126,8 +139,8 @@
 	}
 }
 
-// getJSON gets a bounded JSON document.
-func getJSON(ctx context.Context, client *http.Client, url string, most int64, read func(*json.Decoder) error) error {
+// getJSON decodes a JSON document of at most so many bytes.
+func getJSON(ctx context.Context, client *http.Client, url string, most int64, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -140,5 +153,5 @@
 	if answer.StatusCode != http.StatusOK {
 		return fmt.Errorf("get %s: status %d", url, answer.StatusCode)
 	}
-	return read(json.NewDecoder(io.LimitReader(answer.Body, most)))
+	return json.NewDecoder(io.LimitReader(answer.Body, most)).Decode(into)
 }
--- a/internal/instance/control.go
+++ b/internal/instance/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -274,7 +273,7 @@
 func pollPlatform(ctx context.Context, client *http.Client, url string, known []settings.Instance) ([]string, error) {
 	const mostBytes = 4 << 20
 	var list platformList
-	if err := getJSON(ctx, client, url, mostBytes, func(d *json.Decoder) error { return d.Decode(&list) }); err != nil {
+	if err := getJSON(ctx, client, url, mostBytes, &list); err != nil {
 		return nil, err
 	}
 	listed := map[string]bool{}
