Sending on to the deciding control instance stands once

Cause: Submit and Voters walked the control instances in the same way; isUDP was a method of a verdict it did not use; newMessages took a size that never varied; a comment said checks slow by half where they are halved. Change: decideElsewhere serves both calls; the other three are put right. Conclusion: behaviour is unchanged.

--- a/internal/flow/ask.go
+++ b/internal/flow/ask.go
@@ -176,7 +176,7 @@
 	case !whole:
 		v.action, v.reason = Drop, AskTimeout
 		return v
-	case v.isUDP(p):
+	case isUDP(p):
 		_, second := route.Rank(e.view.Table.Members(), v.service.ID(), v.bucket)
 		return e.newFlow(now, v, p, t, second)
 	case !open:
--- a/internal/flow/engine.go
+++ b/internal/flow/engine.go
@@ -254,14 +254,14 @@
 	if p.Flags().Opens() && len(e.view.Table.Returned()) == 0 {
 		return e.newFlow(now, v, p, t, second)
 	}
-	if e.complete(v) && (!v.isUDP(p) || t.Flipped()) {
+	if e.complete(v) && (!isUDP(p) || t.Flipped()) {
 		return e.forward(now, v, p, t.Default, ByDefault)
 	}
 	return e.ask(now, v, p)
 }
 
 // isUDP reports whether the packet has no flag that tells a new flow.
-func (v Verdict) isUDP(p *packet.Packet) bool { return p.Tuple().Transport() == packet.UDP }
+func isUDP(p *packet.Packet) bool { return p.Tuple().Transport() == packet.UDP }
 
 // relayTo sends a packet to the entry that decides on it.
 func (e *Engine) relayTo(v Verdict, p *packet.Packet, peer string, reason Reason) Verdict {
--- a/internal/instance/batch.go
+++ b/internal/instance/batch.go
@@ -45,14 +45,14 @@
 		p := ipv6.NewPacketConn(udp)
 		b.read, b.write = p.ReadBatch, p.WriteBatch
 	}
-	b.in, b.out = newMessages(packetSize), newMessages(packetSize)
+	b.in, b.out = newMessages(), newMessages()
 	return b, nil
 }
 
-func newMessages(size int) []ipv4.Message {
+func newMessages() []ipv4.Message {
 	messages := make([]ipv4.Message, batchSize)
 	for i := range messages {
-		messages[i].Buffers = [][]byte{make([]byte, size)}
+		messages[i].Buffers = [][]byte{make([]byte, packetSize)}
 	}
 	return messages
 }
--- a/internal/instance/budget.go
+++ b/internal/instance/budget.go
@@ -75,8 +75,8 @@
 // slow returns by which factor health checks are slowed now.
 func (b *budget) slow() time.Duration { return time.Duration(b.slowdown.Load()) }
 
-// judge sums up a window: above the limit checks are slowed by half as much
-// again each time, below half of it they come back.
+// judge sums up a window: above the limit checks are slowed to half each
+// time, below half of it they come back.
 func (b *budget) judge(now time.Time, heap uint64) {
 	if b.judgedAt.IsZero() {
 		b.judgedAt = now
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -84,17 +84,26 @@
 		Id: c.Id, Author: c.Author, Base: c.Base, Confirmed: c.Confirmed, Objects: c.Objects, Plan: c.Plan, Forwarded: true,
 	}
 	reply := submitReply(control.Answer{}, fault.New(fault.NoQuorum, "no control instance could decide"))
+	s.decideElsewhere(ctx, func(client wire.DRPCControlClient) bool {
+		got, err := client.Submit(ctx, forwarded)
+		decided := err == nil && got.Kind != fault.NotCurrent.Name()
+		if decided {
+			reply = got
+		}
+		return decided
+	})
+	return reply, nil
+}
+
+// decideElsewhere asks the other control instances, the leader first, until
+// one has decided.
+func (s *server) decideElsewhere(ctx context.Context, ask func(wire.DRPCControlClient) bool) {
 	for _, target := range s.controlTargets(ctx) {
 		client, err := s.instance.dialer.clientOf(ctx, target, "operator")
-		if err != nil {
-			continue
-		}
-		got, err := client.Submit(ctx, forwarded)
-		if err == nil && got.Kind != fault.NotCurrent.Name() {
-			return got, nil
+		if err == nil && ask(client) {
+			return
 		}
 	}
-	return reply, nil
 }
 
 // controlTargets returns the other control instances, the leader first.
--- a/internal/instance/voters.go
+++ b/internal/instance/voters.go
@@ -20,16 +20,16 @@
 		return reply, nil
 	}
 	forwarded := &wire.VotersRequest{Add: r.Add, Remove: r.Remove, Forwarded: true}
-	for _, target := range s.controlTargets(ctx) {
-		client, err := s.instance.dialer.clientOf(ctx, target, "operator")
-		if err != nil {
-			continue
+	reply := &wire.VotersReply{Kind: fault.NoQuorum.Name(), Detail: "no control instance could decide"}
+	s.decideElsewhere(ctx, func(client wire.DRPCControlClient) bool {
+		got, err := client.Voters(ctx, forwarded)
+		decided := err == nil && got.Kind != fault.NotCurrent.Name()
+		if decided {
+			reply = got
 		}
-		if got, err := client.Voters(ctx, forwarded); err == nil && got.Kind != fault.NotCurrent.Name() {
-			return got, nil
-		}
-	}
-	return &wire.VotersReply{Kind: fault.NoQuorum.Name(), Detail: "no control instance could decide"}, nil
+		return decided
+	})
+	return reply, nil
 }
 
 func (s *server) votersHere(ctx context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
