A free loopback address is found in one place

Cause: four fixtures (demo, slopes, benchmark, scenario test) each looked for a free port in the same way, and the light fleet opened its connection twice. Change: standin.FreeAddr serves all four; lightFleet.call serves both calls.

--- a/internal/cmd/scenario_test.go
+++ b/internal/cmd/scenario_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,7 @@
 	"github.com/onsi/gomega"
 
 	"oxbowsaddle/examples"
+	"oxbowsaddle/internal/standin"
 )
 
 // fleet runs the built program as separate processes.
@@ -61,12 +61,11 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr("tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String()).String()
+	return addr.String()
 }
 
 func (f *fleet) start(name string) {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -95,10 +94,10 @@
 	s.Times.Ramp = settings.Duration(3 * time.Second)
 	for n := range s.Instances {
 		i := &s.Instances[n]
-		if i.Packets, err = freePort("udp"); err != nil {
+		if i.Packets, err = standin.FreeAddr("udp"); err != nil {
 			return err
 		}
-		if i.Control, err = freePort("tcp"); err != nil {
+		if i.Control, err = standin.FreeAddr("tcp"); err != nil {
 			return err
 		}
 		f.domainOf[i.Packets], f.domainOf[i.Control] = i.Domain, i.Domain
@@ -110,24 +109,6 @@
 	return nil
 }
 
-// freePort returns a loopback address that nothing uses now.
-func freePort(network string) (netip.AddrPort, error) {
-	if network == "udp" {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}, err
-		}
-		defer func() { _ = conn.Close() }()
-		return netip.ParseAddrPort(conn.LocalAddr().String())
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 // readDocument starts a backend server for each endpoint of the example and
 // writes its addresses into the document.
 func (f *fleet) readDocument() error {
--- a/internal/instance/traffic_bench_test.go
+++ b/internal/instance/traffic_bench_test.go
@@ -15,6 +15,7 @@
 
 	"oxbowsaddle/internal/packet"
 	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/standin"
 	"oxbowsaddle/internal/telemetry"
 	"oxbowsaddle/internal/wire"
 )
@@ -24,20 +25,11 @@
 // loopback is an address of a port that is free now.
 func loopback(tb testing.TB, network string) netip.AddrPort {
 	tb.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			tb.Fatal(err)
-		}
-		defer func() { _ = c.Close() }()
-		return netip.MustParseAddrPort(c.LocalAddr().String())
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr(network)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return addr
 }
 
 // oneEntry runs one entry that is its own control instance, with one endpoint.
--- a/internal/slopes/fleet.go
+++ b/internal/slopes/fleet.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -18,6 +17,7 @@
 	"oxbowsaddle/internal/instance"
 	"oxbowsaddle/internal/member"
 	"oxbowsaddle/internal/settings"
+	"oxbowsaddle/internal/standin"
 	"oxbowsaddle/internal/telemetry"
 	"oxbowsaddle/internal/wire"
 )
@@ -57,7 +57,7 @@
 	f.settings.HashKey = "000102030405060708090a0b0c0d0e0f"
 	f.settings.Fabric = netip.MustParseAddrPort("127.0.0.1:9")
 	for n := range 3 {
-		control, err := freeAddr()
+		control, err := standin.FreeAddr("tcp")
 		if err != nil {
 			return nil, err
 		}
@@ -88,15 +88,6 @@
 	return f, nil
 }
 
-func freeAddr() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 func (f *lightFleet) close() error {
 	f.cancel()
 	f.group.Wait()
@@ -157,29 +148,37 @@
 	return errors.New("the light fleet did not settle")
 }
 
-func (f *lightFleet) status(ctx context.Context) (*wire.StatusReply, error) {
+// call makes one call on the control instance that is asked.
+func (f *lightFleet) call(ctx context.Context, ask func(wire.DRPCControlClient) error) error {
 	client, done, err := instance.Dial(ctx, f.settings.Instances[f.asked].Control, f.settings.TLS)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = done() }()
-	return client.Status(ctx, &wire.StatusRequest{})
+	return ask(client)
 }
 
-func (f *lightFleet) submit(ctx context.Context, id string, objects ...*wire.Object) (uint64, error) {
-	client, done, err := instance.Dial(ctx, f.settings.Instances[f.asked].Control, f.settings.TLS)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = done() }()
-	reply, err := client.Submit(ctx, &wire.Change{Id: id, Author: "slopes", Base: 1 << 60, Objects: objects})
-	if err != nil {
-		return 0, err
-	}
-	if reply.Kind != "accepted" {
-		return 0, fmt.Errorf("%s %s %v", reply.Kind, reply.Detail, reply.Faults)
-	}
-	return reply.Revision, nil
+func (f *lightFleet) status(ctx context.Context) (s *wire.StatusReply, err error) {
+	err = f.call(ctx, func(client wire.DRPCControlClient) error {
+		s, err = client.Status(ctx, &wire.StatusRequest{})
+		return err
+	})
+	return s, err
+}
+
+func (f *lightFleet) submit(ctx context.Context, id string, objects ...*wire.Object) (revision uint64, err error) {
+	err = f.call(ctx, func(client wire.DRPCControlClient) error {
+		reply, err := client.Submit(ctx, &wire.Change{Id: id, Author: "slopes", Base: 1 << 60, Objects: objects})
+		if err != nil {
+			return err
+		}
+		if reply.Kind != "accepted" {
+			return fmt.Errorf("%s %s %v", reply.Kind, reply.Detail, reply.Faults)
+		}
+		revision = reply.Revision
+		return nil
+	})
+	return revision, err
 }
 
 // inForce measures from the offer of a change until every light instance
