Why tells once what all entries would decide alike

Cause: started from a fresh clone with the README alone, its `why flow` line printed the same answer worked out by 8 entries, 8 x 19 lines. Two comments said that only the asked entry works it out, which was not so. Change: an answer worked out now that agrees with one already told in action, reason, endpoint, configuration and hops is counted instead; "7 other entries would decide the same now". Kept decisions and every disagreement are told as before. The comments say what the code does. Conclusion: what stands out now is an entry that disagrees.

--- a/internal/instance/why.go
+++ b/internal/instance/why.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 
 	"oxbowsaddle/internal/entry"
@@ -10,8 +11,8 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// Why explains. The asked entry asks the others too, and works out again what
-// none of them has kept.
+// Why explains. The asked entry asks the others too; of a flow each tells what
+// it has kept and what it would decide now.
 func (s *server) Why(ctx context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
 	leave, err := s.enter(ctx)
 	if err != nil {
@@ -42,6 +43,7 @@
 
 func (s *server) whyElsewhere(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
 	ask := &wire.WhyRequest{Matter: r.Matter, Source: r.Source, Target: r.Target, Protocol: r.Protocol, Local: true}
+	same := 0
 	for _, other := range s.instance.config.Settings.Instances {
 		if other.Name == s.instance.self.Name {
 			continue
@@ -56,12 +58,28 @@
 			reply.Lines = append(reply.Lines, other.Name+" did not answer: "+err.Error())
 			continue
 		}
-		reply.Decisions = append(reply.Decisions, got.Decisions...)
+		for _, d := range got.Decisions {
+			if slices.ContainsFunc(reply.Decisions, func(told *wire.Decision) bool { return workedOutAlike(told, d) }) {
+				same++
+				continue
+			}
+			reply.Decisions = append(reply.Decisions, d)
+		}
+	}
+	if same > 0 {
+		reply.Lines = append(reply.Lines, fmt.Sprintf("%d other entries would decide the same now", same))
 	}
 }
 
-// whyFlow adds the kept decisions on a flow and, on the asked entry, what it
-// would decide now.
+// workedOutAlike reports whether two entries would decide the same now by the
+// same configuration; only where they differ does an operator need both.
+func workedOutAlike(a, b *wire.Decision) bool {
+	return a.Recomputed && b.Recomputed && a.Subject == b.Subject && a.Action == b.Action && a.Reason == b.Reason &&
+		a.Endpoint == b.Endpoint && a.Index == b.Index && a.Active == b.Active && slices.Equal(a.Hops, b.Hops)
+}
+
+// whyFlow adds the kept decisions on a flow and what this entry would decide
+// now.
 func (s *server) whyFlow(ctx context.Context, r *wire.WhyRequest, reply *wire.WhyReply) {
 	subject := r.Protocol + " " + r.Source + " " + r.Target
 	reply.Decisions = s.instance.ring.Find(mostDecisions, func(d *wire.Decision) bool { return d.Subject == subject })
