--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -63,7 +63,7 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(cmdEntry(), cmdSettings(), cmdAccept(), cmdTeam(), cmdTemplate(), cmdStatus(), cmdHistory(), cmdDiff(), cmdRevert(),
-		cmdWhy(), cmdStats(), cmdControl(), cmdDemo(), cmdLoad(), cmdSlopes(), cmdMan(), cmdVersion())
+		cmdWhy(), cmdStats(), cmdControl(), cmdPlatform(), cmdDemo(), cmdLoad(), cmdSlopes(), cmdMan(), cmdVersion())
 	return root
 }
 
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,247 @@
+// Package directory is the core of a control instance of a fleet whose fabric
+// carries tags: the document in force, kept by the replicated log under the
+// rule that the highest version wins, and the list of control instances, kept
+// in the log too. It has no I/O: the caller feeds in messages, orders and the
+// time, and takes out what to persist, to send and to answer, in that order.
+package directory
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/replica"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+// The times of the replicated log. A follower calls an election between one
+// and two leases after it heard the leader last, so a lost leader is replaced
+// within a second; heartbeats come six times in a lease, so that single
+// losses and a disk of 200 ms a sync do not end it.
+const (
+	Heartbeat = 75 * time.Millisecond
+	Lease     = 450 * time.Millisecond
+	Drift     = 30 * time.Millisecond
+)
+
+type (
+	// Config sets who an instance is.
+	Config struct {
+		Self    string // id; its disk keeps it
+		Address string // where peers call, IP:port
+		Front   string // where operators and endpoints call
+		Domain  string
+		// Founders are the voters of the very first start, nil at any other:
+		// an empty disk is otherwise never a vote.
+		Founders []string
+		// Voters is how many voters are wanted.
+		Voters int
+		Rand   *rand.Rand
+	}
+
+	// Ready is what the caller must do, in this order: persist what Log says,
+	// send its messages, then tell Done to those who wait.
+	Ready struct {
+		Log replica.Ready
+		// Document is set where another one is in force now.
+		Document *document.Document
+		// Done holds the proposals that are committed, Lost those of which it
+		// is not known, since this instance leads no more.
+		Done, Lost []uint64
+	}
+
+	// Status is what an instance believes.
+	Status struct {
+		Self, Role, Leader    string
+		Term, Commit, Version uint64
+		Voters                []string
+		Current, Confirmed    bool
+	}
+
+	// Directory is one control instance. One goroutine uses it.
+	Directory struct {
+		config    Config
+		replica   *replica.Replica
+		document  *document.Document
+		applied   uint64
+		proposals map[uint64]uint64 // term by index
+		peers     map[string]*peer
+		replaced  map[string]bool // ids whose address another id has now
+		began     time.Time
+		ledSince  time.Time
+	}
+)
+
+// New returns an instance with what its disk held.
+func New(c Config, now time.Time, loaded *storage.Loaded) (*Directory, error) {
+	d := &Directory{
+		config: c, proposals: map[uint64]uint64{}, peers: map[string]*peer{}, replaced: map[string]bool{}, began: now,
+	}
+	if loaded.Snapshot != nil {
+		if err := d.restore(loaded.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	d.replica = replica.New(replica.Config{
+		Self: c.Self, Voters: c.Founders, Heartbeat: Heartbeat, Lease: Lease, Drift: Drift, Rand: c.Rand,
+	}, now, loaded)
+	return d, nil
+}
+
+func (d *Directory) restore(s *wire.SnapshotFile) error {
+	d.applied = s.Index
+	if len(s.State) == 0 {
+		return nil
+	}
+	return d.take(s.State)
+}
+
+// take puts an encoded document in force if its version is the highest.
+func (d *Directory) take(command []byte) error {
+	m := &wire.Document{}
+	if err := proto.Unmarshal(command, m); err != nil {
+		return fault.Wrap(fault.DamagedLog, err)
+	}
+	if d.document != nil && m.Version <= d.document.Version() {
+		return nil
+	}
+	doc, err := document.FromMessage(m)
+	if err != nil {
+		return fault.Wrap(fault.DamagedLog, err)
+	}
+	d.document = doc
+	return nil
+}
+
+// Step takes a message of another control instance; one to an earlier holder
+// of the address is dropped.
+func (d *Directory) Step(now time.Time, m *wire.LogMessage) {
+	if m.To == d.config.Self {
+		d.replica.Step(now, m)
+	}
+}
+
+// Tick does what is due.
+func (d *Directory) Tick(now time.Time) {
+	d.replica.Tick(now)
+	if !d.replica.Current(now) {
+		d.ledSince = time.Time{}
+		return
+	}
+	if d.ledSince.IsZero() {
+		d.ledSince = now
+	}
+	d.replica.SetLearners(d.learners(now))
+	d.changeVoters(now)
+}
+
+// Put offers a document. It is done at once where its version is not above
+// the one in force; else index tells which proposal to wait for.
+func (d *Directory) Put(now time.Time, doc *document.Document) (index uint64, done bool, err error) {
+	if !d.replica.Current(now) {
+		return 0, false, fault.New(fault.NotCurrent, "%s does not lead", d.config.Self)
+	}
+	if d.document != nil && doc.Version() <= d.document.Version() {
+		return 0, true, nil
+	}
+	command, err := proto.Marshal(doc.Message())
+	if err != nil {
+		return 0, false, fault.Wrap(fault.Internal, err)
+	}
+	if index, err = d.replica.Propose(now, command); err != nil {
+		return 0, false, err
+	}
+	d.proposals[index] = d.replica.Term()
+	return index, false, nil
+}
+
+// Read returns the document in force, if this instance can show that there is
+// no newer one; nil is that there was none yet.
+func (d *Directory) Read(now time.Time) (*document.Document, error) {
+	if !d.replica.Current(now) || d.applied < d.replica.Commit() {
+		return nil, fault.New(fault.NotCurrent, "%s cannot show that it holds the newest", d.config.Self)
+	}
+	return d.document, nil
+}
+
+// Document returns the document in force as far as this instance knows, nil
+// where there is none.
+func (d *Directory) Document() *document.Document { return d.document }
+
+// Leader returns who leads, as far as this instance knows, or "".
+func (d *Directory) Leader() string { return d.replica.Leader() }
+
+// Status returns what the instance believes.
+func (d *Directory) Status(now time.Time) Status {
+	s := Status{
+		Self: d.config.Self, Role: d.replica.Role().String(), Leader: d.replica.Leader(), Term: d.replica.Term(),
+		Commit: d.replica.Commit(), Voters: d.replica.Voters(), Current: d.replica.Current(now), Confirmed: d.replica.Confirmed(),
+	}
+	if d.document != nil {
+		s.Version = d.document.Version()
+	}
+	return s
+}
+
+// Ready returns what is to be done and assumes that it is done: a caller that
+// fails to persist must not use this instance any further.
+func (d *Directory) Ready(now time.Time) (Ready, error) {
+	ready := Ready{Log: d.replica.Ready(now)}
+	before := d.document
+	if s := ready.Log.Snapshot; s != nil {
+		if err := d.restore(s); err != nil {
+			return ready, err
+		}
+	}
+	for _, e := range ready.Log.Committed {
+		if err := d.apply(e, &ready); err != nil {
+			return ready, err
+		}
+	}
+	if d.replica.Role() != replica.Leader {
+		for index := range d.proposals {
+			ready.Lost = append(ready.Lost, index)
+		}
+		clear(d.proposals)
+	}
+	if d.document != before {
+		ready.Document = d.document
+	}
+	return ready, nil
+}
+
+func (d *Directory) apply(e *wire.LogEntry, ready *Ready) error {
+	if len(e.Command) > 0 {
+		if err := d.take(e.Command); err != nil {
+			return err
+		}
+	}
+	d.applied = e.Index
+	if term, ok := d.proposals[e.Index]; ok {
+		delete(d.proposals, e.Index)
+		if term == e.Term {
+			ready.Done = append(ready.Done, e.Index)
+		} else {
+			ready.Lost = append(ready.Lost, e.Index)
+		}
+	}
+	return nil
+}
+
+// Compact returns what a snapshot at the applied index holds, with the log
+// that goes on after it.
+func (d *Directory) Compact() (*wire.SnapshotFile, *wire.HardState, []*wire.LogEntry, error) {
+	var state []byte
+	if d.document != nil {
+		var err error
+		if state, err = proto.Marshal(d.document.Message()); err != nil {
+			return nil, nil, nil, fault.Wrap(fault.Internal, err)
+		}
+	}
+	file, hard, after := d.replica.Compact(d.applied, state)
+	return file, hard, after, nil
+}
--- /dev/null
+++ b/internal/node/endpoints.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/wire"
+)
+
+// endpointList is the registry of a control instance with what the others
+// have confirmed to hold of it.
+type endpointList struct {
+	now      func() time.Time
+	changes  notifier // a change that entries must know
+	receipts notifier // somebody confirmed something
+
+	mu        sync.Mutex
+	registry  *registry.Registry
+	confirmed map[string]uint64 // number by peer address
+}
+
+func newEndpointList(now func() time.Time, beat time.Duration) *endpointList {
+	return &endpointList{
+		now: now, registry: registry.New(registry.Config{Beat: beat}, now()), confirmed: map[string]uint64{},
+	}
+}
+
+// update changes the registry and wakes the senders if entries must know.
+func (l *endpointList) update(change func(now time.Time, r *registry.Registry)) {
+	l.mu.Lock()
+	before := l.registry.Changed()
+	change(l.now(), l.registry)
+	changed := l.registry.Changed() != before
+	l.mu.Unlock()
+	if changed {
+		l.changes.notify()
+	}
+}
+
+func (l *endpointList) changesAfter(number uint64) *wire.Reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Changes(l.now(), number)
+}
+
+func (l *endpointList) beatsAfter(number uint64) *wire.Reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Beats(l.now(), number)
+}
+
+// confirm notes what the instance at an address holds; 0 after its link ended.
+func (l *endpointList) confirm(address string, number uint64) {
+	l.mu.Lock()
+	l.confirmed[address] = number
+	l.mu.Unlock()
+	l.receipts.notify()
+}
+
+// await waits until enough of the instances at the addresses hold a change.
+func (l *endpointList) await(ctx context.Context, number uint64, addresses []string, enough int) error {
+	receipts, cancel := l.receipts.subscribe()
+	defer cancel()
+	for {
+		if l.holders(number, addresses) >= enough {
+			return nil
+		}
+		select {
+		case <-receipts:
+		case <-ctx.Done():
+			return fault.New(fault.NoQuorum, "too few control instances hold the change")
+		}
+	}
+}
+
+func (l *endpointList) holders(number uint64, addresses []string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, address := range addresses {
+		if l.confirmed[address] >= number {
+			n++
+		}
+	}
+	return n
+}
+
+// loop looks for silent endpoints until the context ends.
+func (l *endpointList) loop(ctx context.Context) error {
+	ticker := time.NewTicker(frameEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l.update(func(now time.Time, r *registry.Registry) { r.Sweep(now) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/steer"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// packetMost is the largest datagram that is read.
+	packetMost = 2048
+	// maxFlows bounds the records that an entry keeps for balance.
+	maxFlows = 200_000
+	// leaveMost is how long a stopping entry forwards on, so that routers
+	// turn away first: two readiness checks of half a second, and the longest
+	// wait until a caller repeats its opening packet.
+	leaveMost = 2500 * time.Millisecond
+)
+
+type (
+	// Codec reads and writes packets as the fabric carries them.
+	Codec struct {
+		// Decode reads a caller's packet; false where it is none.
+		Decode func(raw []byte) (steer.Packet, bool)
+		// Forward appends the datagram for an endpoint.
+		Forward func(buf, raw []byte, number uint64, tag uint32) []byte
+		// Reset appends a reset to the caller of a packet.
+		Reset func(buf []byte, p steer.Packet, seq uint32) []byte
+	}
+
+	// EntryConfig is what an entry is told.
+	EntryConfig struct {
+		Name    string
+		Domain  string
+		Packets netip.AddrPort   // where callers' packets arrive; resets go to the same port
+		Seeds   []netip.AddrPort // peer addresses of control instances
+		MaxFlow time.Duration
+		Grace   time.Duration // a planned stop must end within it
+		Codec   Codec
+		Log     *log.Logger
+		Now     func() time.Time
+	}
+
+	// Entry is a running entry.
+	Entry struct {
+		config    EntryConfig
+		watch     *watch
+		confirmed atomic.Bool
+		stopping  atomic.Bool
+		counts    packetCounts
+
+		mu      sync.Mutex
+		steerer *steer.Steerer
+	}
+)
+
+// NewEntry returns an entry that does not run yet.
+func NewEntry(c EntryConfig) *Entry {
+	e := &Entry{config: c}
+	e.steerer = steer.New(steer.Config{
+		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows,
+		Suspected: func(id string, suspect bool) {
+			c.Log.Warn("endpoint suspected", "endpoint", id, "suspect", suspect)
+		},
+	})
+	e.watch = newWatch(e)
+	return e
+}
+
+// Run serves until the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.config.Packets))
+	if err != nil {
+		return fault.Wrap(fault.AddressInUse, err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	e.watch.setSeeds(ctx, e.config.Seeds)
+	group.Go(func() error { return e.run(ctx, conn) })
+	return group.Wait()
+}
+
+// Stop fails readiness, forwards on until the routers have turned away, and
+// returns; the caller then ends the context of Run.
+func (e *Entry) Stop(ctx context.Context) {
+	e.stopping.Store(true)
+	wait := min(leaveMost, e.config.Grace/2)
+	e.config.Log.Info("planned stop", "forwarding_on", wait)
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// Ready reports whether routers should send packets here: the table has been
+// confirmed in this life, and no stop is planned.
+func (e *Entry) Ready() bool { return e.confirmed.Load() && !e.stopping.Load() }
+
+// SetSeeds takes other seeds, after the settings have changed.
+func (e *Entry) SetSeeds(ctx context.Context, seeds []netip.AddrPort) { e.watch.setSeeds(ctx, seeds) }
+
+// run carries packets until the context ends.
+func (e *Entry) run(ctx context.Context, conn *net.UDPConn) error {
+	raw, out := make([]byte, packetMost), make([]byte, 0, packetMost)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(raw)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue // an earlier send found a closed port
+		}
+		e.carry(conn, raw[:n], out)
+	}
+}
+
+// carry decides about one packet and does it.
+func (e *Entry) carry(conn *net.UDPConn, raw, out []byte) {
+	p, ok := e.config.Codec.Decode(raw)
+	if !ok {
+		e.counts.add(steer.Decision{Reason: steer.Malformed})
+		return
+	}
+	now := e.config.Now()
+	e.mu.Lock()
+	d := e.steerer.Decide(now, p)
+	e.mu.Unlock()
+	e.counts.add(d)
+	switch d.Action {
+	case steer.Forward:
+		// A datagram that cannot be sent is lost, as on any link; its sender repeats it.
+		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Forward(out, raw, d.Number, d.Tag), d.To)
+	case steer.Reset:
+		caller := netip.AddrPortFrom(p.Src.Addr(), e.config.Packets.Port())
+		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(out, p, d.Seq), caller)
+	}
+	e.logDecision(p, d)
+}
+
+// logDecision writes a line for each flow that is not just steered.
+func (e *Entry) logDecision(p steer.Packet, d steer.Decision) {
+	if d.Reason == steer.Steered || d.Reason == steer.Placed || d.Reason == steer.Corrected {
+		return
+	}
+	e.config.Log.Info("flow", "caller", p.Src, "route", p.Dst, "seq", p.Seq, "copy", p.Copy, "tag", p.Tag,
+		"action", d.Action, "reason", d.Reason, "endpoint", d.ID)
+}
+
+// takeDocument puts a document in force.
+func (e *Entry) takeDocument(frame *wire.DocumentFrame) {
+	doc, err := document.FromMessage(frame.Document)
+	if err != nil {
+		e.config.Log.Error("document refused", "error", err)
+		return
+	}
+	e.mu.Lock()
+	fresh := e.steerer.SetDocument(doc)
+	version := e.steerer.Version()
+	e.mu.Unlock()
+	if fresh {
+		e.config.Log.Info("document in force", "version", version, "routes", len(doc.Routes()), "confirmed", frame.Confirmed)
+	}
+	if frame.Confirmed && !e.confirmed.Swap(true) {
+		e.config.Log.Info("ready", "version", version)
+	}
+}
+
+func (e *Entry) takeReports(source string, reports *wire.Reports) {
+	now := e.config.Now()
+	e.mu.Lock()
+	e.steerer.Learn(now, source, reports)
+	e.mu.Unlock()
+}
+
+func (e *Entry) forget(source string) {
+	e.mu.Lock()
+	e.steerer.Forget(source)
+	e.mu.Unlock()
+}
--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/registry"
+)
+
+// Put offers a document and waits until it is committed, or its version is
+// known not to be above the one in force. Where another instance leads, the
+// error is of kind NotCurrent and elsewhere is that one's address for
+// operators.
+func (c *Control) Put(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	return c.atLeader(ctx, func() (string, error) { return c.putHere(ctx, doc) })
+}
+
+// atLeader asks until this instance or another one leads.
+func (c *Control) atLeader(ctx context.Context, ask func() (string, error)) (string, error) {
+	for {
+		elsewhere, err := ask()
+		if err == nil || elsewhere != "" || fault.KindOf(err) != fault.NotCurrent {
+			return elsewhere, err
+		}
+		select {
+		case <-ctx.Done():
+			return "", err
+		case <-time.After(leaderPoll):
+		}
+	}
+}
+
+func (c *Control) putHere(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
+	committed := make(chan bool, 1)
+	callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
+		index, done, putErr := d.Put(now, doc)
+		switch {
+		case putErr != nil:
+			elsewhere, err = c.leaderFront(d), putErr
+		case done:
+			committed <- true
+		default:
+			c.waiting[index] = committed
+		}
+	})
+	if callErr != nil {
+		return "", callErr
+	}
+	if err != nil {
+		return elsewhere, err
+	}
+	select {
+	case ok := <-committed:
+		if !ok {
+			return "", fault.New(fault.NoQuorum, "the leader changed while the order was under way")
+		}
+		return "", nil
+	case <-ctx.Done():
+		return "", fault.New(fault.NoQuorum, "too few control instances hold the order")
+	}
+}
+
+// leaderFront returns where the other instance that leads takes orders.
+func (c *Control) leaderFront(d *directory.Directory) string {
+	if front := d.Front(d.Leader()); front != c.config.Front {
+		return front
+	}
+	return ""
+}
+
+// Read returns the document in force, if it can be shown to be the newest;
+// nil is that there is none yet. Elsewhere is as for Put.
+func (c *Control) Read(ctx context.Context) (doc *document.Document, elsewhere string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	elsewhere, err = c.atLeader(ctx, func() (string, error) {
+		var front string
+		var readErr error
+		callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
+			if doc, readErr = d.Read(now); readErr != nil {
+				front = c.leaderFront(d)
+			}
+		})
+		if callErr != nil {
+			return "", callErr
+		}
+		return front, readErr
+	})
+	return doc, elsewhere, err
+}
+
+// Heartbeat takes the heartbeat of an endpoint. That it is leaving is
+// acknowledged only once a majority of the voters knows.
+func (c *Control) Heartbeat(ctx context.Context, e registry.Endpoint) error {
+	number := c.registryUpdate(func(now time.Time, r *registry.Registry) uint64 {
+		n, _ := r.Hear(now, e, 0)
+		return n
+	})
+	if !e.Leaving {
+		return nil
+	}
+	return c.awaitMajority(ctx, number)
+}
+
+// Leave takes the word of an endpoint that it ends, under the same condition.
+func (c *Control) Leave(ctx context.Context, id string) error {
+	c.config.Log.Info("endpoint left", "endpoint", id)
+	return c.awaitMajority(ctx, c.registryUpdate(func(now time.Time, r *registry.Registry) uint64 { return r.Leave(now, id) }))
+}
+
+func (c *Control) awaitMajority(ctx context.Context, number uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callMost)
+	defer cancel()
+	status := c.Status()
+	if len(status.Voters) == 0 {
+		return fault.New(fault.NoQuorum, "no control instances are known yet")
+	}
+	enough := len(status.Voters)/2 + 1
+	if slices.Contains(status.Voters, status.Self) {
+		enough--
+	}
+	var others []string
+	for _, id := range status.Voters {
+		if id != status.Self {
+			others = append(others, directory.AddressOf(id))
+		}
+	}
+	return c.endpoints.await(ctx, number, others, enough)
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/wire"
+)
+
+// outboxSize bounds the log messages that wait for one peer; what finds it
+// full is lost, which the log bears.
+const outboxSize = 128
+
+type (
+	// peerLinks holds the links of a control instance to the others.
+	peerLinks struct {
+		control *Control
+
+		mu    sync.Mutex
+		seeds []string
+		links map[string]*peerLink // by address
+	}
+
+	// peerLink sends to the control instance at one address.
+	peerLink struct {
+		control *Control
+		address string
+		outbox  chan *wire.LogMessage
+		cancel  context.CancelFunc
+	}
+)
+
+func newPeerLinks(c *Control) *peerLinks {
+	return &peerLinks{control: c, links: map[string]*peerLink{}}
+}
+
+// setSeeds takes the addresses that the settings name now.
+func (p *peerLinks) setSeeds(ctx context.Context, seeds []netip.AddrPort) {
+	p.mu.Lock()
+	p.seeds = nil
+	for _, s := range seeds {
+		if s != p.control.config.Peer {
+			p.seeds = append(p.seeds, s.String())
+		}
+	}
+	p.mu.Unlock()
+	p.connect(ctx, nil)
+}
+
+// connect keeps links to the seeds and to the given addresses, and ends others.
+func (p *peerLinks) connect(ctx context.Context, addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, address := range append(addresses, p.seeds...) {
+		wanted[address] = true
+		if p.links[address] == nil {
+			linkCtx, cancel := context.WithCancel(ctx)
+			l := &peerLink{control: p.control, address: address, outbox: make(chan *wire.LogMessage, outboxSize), cancel: cancel}
+			p.links[address] = l
+			go l.run(linkCtx)
+		}
+	}
+	for address, l := range p.links {
+		if !wanted[address] && addresses != nil {
+			l.cancel()
+			delete(p.links, address)
+		}
+	}
+}
+
+// post queues a message of the log.
+func (p *peerLinks) post(m *wire.LogMessage) {
+	p.mu.Lock()
+	l := p.links[directory.AddressOf(m.To)]
+	p.mu.Unlock()
+	if l == nil {
+		return
+	}
+	select {
+	case l.outbox <- m:
+	default:
+	}
+}
+
+// run keeps the link up until the context ends.
+func (l *peerLink) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := l.serve(ctx); err != nil && ctx.Err() == nil {
+			l.drain()
+			time.Sleep(redialAfter)
+		}
+	}
+}
+
+// drain drops messages that are too old to be of use on the next link.
+func (l *peerLink) drain() {
+	for {
+		select {
+		case <-l.outbox:
+		default:
+			return
+		}
+	}
+}
+
+// serve sends until the link fails.
+func (l *peerLink) serve(ctx context.Context) error {
+	stream, done, err := dialLink(ctx, l.address, &wire.Hello{Id: l.control.Status().Self, Control: true})
+	if err != nil {
+		return err
+	}
+	log := l.control.config.Log
+	log.Info("peer reached", "peer", l.address)
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		l.receive(stream)
+	}()
+	err = l.send(ctx, stream)
+	done()
+	l.control.endpoints.confirm(l.address, 0)
+	log.Warn("peer lost", "peer", l.address, "error", err)
+	return err
+}
+
+// receive takes receipts until the link fails.
+func (l *peerLink) receive(stream wire.DRPCDirectory_LinkClient) {
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if receipt := frame.GetReceipt(); receipt != nil {
+			l.control.endpoints.confirm(l.address, receipt.Number)
+		}
+	}
+}
+
+func (l *peerLink) send(ctx context.Context, stream wire.DRPCDirectory_LinkClient) error {
+	changed, unsubscribe := l.control.endpoints.changes.subscribe()
+	defer unsubscribe()
+	ticker := time.NewTicker(frameEvery)
+	defer ticker.Stop()
+	sent := uint64(0)
+	for {
+		reports := l.control.endpoints.beatsAfter(sent)
+		if err := stream.Send(&wire.Frame{Body: &wire.Frame_Reports{Reports: reports}}); err != nil {
+			return err
+		}
+		sent = reports.Number
+		if err := l.sendLog(ctx, stream, changed, ticker.C); err != nil {
+			return err
+		}
+	}
+}
+
+// sendLog sends messages of the log until reports are due; each tick sends a
+// roster too.
+func (l *peerLink) sendLog(ctx context.Context, stream wire.DRPCDirectory_LinkClient, changed <-chan struct{}, tick <-chan time.Time) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-l.outbox:
+			if err := stream.Send(&wire.Frame{Body: &wire.Frame_Log{Log: m}}); err != nil {
+				return err
+			}
+		case <-changed:
+			return nil
+		case <-tick:
+			return stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: l.control.roster.Load()}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,220 @@
+// Package registry holds what the heartbeats of endpoints say: one record for
+// each incarnation, ordered by the sequence that the endpoint counts up, so
+// that a late heartbeat changes nothing. Records are soft state, shared among
+// the control instances, and pushed to entries when they change. The package
+// has no I/O; now is an argument.
+package registry
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// silentBeats is how many heartbeat periods without a heartbeat make an
+	// endpoint silent: two lost ones and the spread of the third.
+	silentBeats = 2.6
+	// forgetBeats is how many periods after its last heartbeat a record is
+	// dropped: a flow's longest life of 60 s at a period of 0.77 s.
+	forgetBeats = 80
+)
+
+type (
+	// Endpoint is what one incarnation of an endpoint said of itself last.
+	Endpoint struct {
+		ID       string
+		Number   uint64 // what a packet names the incarnation by
+		Service  string
+		Addr     netip.AddrPort
+		Domain   string
+		Slots    int
+		Leaving  bool
+		Gone     bool          // it has ended; nothing may go there
+		Warm     time.Duration // how much longer it is slow, counted from the heartbeat
+		Sequence uint64        // rises with each heartbeat
+	}
+
+	// Config sets the times of a Registry.
+	Config struct {
+		Beat time.Duration // an endpoint's heartbeat period
+	}
+
+	// Registry is the set of records of one control instance. One goroutine
+	// at a time uses it.
+	Registry struct {
+		config  Config
+		started time.Time
+		records map[string]*record
+		number  uint64 // of the last heartbeat or change
+		changed uint64 // of the last change that entries must know
+	}
+
+	record struct {
+		endpoint Endpoint
+		heard    time.Time
+		silent   bool
+		changed  uint64 // number of the last change that entries must know
+		beaten   uint64 // number of the last heartbeat that peers must know
+	}
+)
+
+// New returns an empty registry.
+func New(c Config, now time.Time) *Registry {
+	return &Registry{config: c, started: now, records: map[string]*record{}}
+}
+
+// Hear takes a heartbeat that came age ago, and returns the number of the
+// change. It reports false where the heartbeat is older than what is known.
+func (r *Registry) Hear(now time.Time, e Endpoint, age time.Duration) (uint64, bool) {
+	held := r.records[e.ID]
+	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
+		return max(held.changed, held.beaten), false
+	}
+	r.supersede(e)
+	r.number++
+	heard := now.Add(-age)
+	if held == nil {
+		held = &record{}
+		r.records[e.ID] = held
+		r.change(held)
+	} else if material(held.endpoint, e) || held.silent {
+		r.change(held)
+	}
+	held.endpoint, held.beaten, held.silent = e, r.number, false
+	if heard.After(held.heard) {
+		held.heard = heard
+	}
+	return r.number, true
+}
+
+// material reports whether entries must learn of the difference.
+func material(a, b Endpoint) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.Warm, b.Warm = 0, 0
+	return a != b
+}
+
+// supersede marks other incarnations at the endpoint's address as gone: an
+// address is given away only after its endpoint has ended.
+func (r *Registry) supersede(e Endpoint) {
+	if e.Gone || r.records[e.ID] != nil {
+		return
+	}
+	for _, other := range r.records {
+		if other.endpoint.Addr == e.Addr && !other.endpoint.Gone {
+			r.end(other)
+		}
+	}
+}
+
+func (r *Registry) end(held *record) {
+	r.number++
+	held.endpoint.Gone, held.silent = true, false
+	held.beaten = r.number
+	r.change(held)
+}
+
+// change notes that entries must learn of the record.
+func (r *Registry) change(held *record) { held.changed, r.changed = r.number, r.number }
+
+// Leave marks an incarnation as gone and returns the number of the change.
+func (r *Registry) Leave(now time.Time, id string) uint64 {
+	held := r.records[id]
+	if held == nil {
+		r.number++
+		held = &record{endpoint: Endpoint{ID: id}, heard: now}
+		r.records[id] = held
+	}
+	if !held.endpoint.Gone {
+		held.heard = now
+		r.end(held)
+	}
+	return held.changed
+}
+
+// Sweep marks endpoints that fell silent and drops records that nothing needs.
+func (r *Registry) Sweep(now time.Time) {
+	silent := time.Duration(silentBeats * float64(r.config.Beat))
+	for id, held := range r.records {
+		age := now.Sub(held.heard)
+		if age > forgetBeats*r.config.Beat {
+			delete(r.records, id)
+			continue
+		}
+		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
+			r.number++
+			held.silent = quiet
+			r.change(held)
+		}
+	}
+}
+
+// Whole reports whether every endpoint has had the time to send a heartbeat
+// since the registry began; until then a missing one means nothing.
+func (r *Registry) Whole(now time.Time) bool {
+	return now.Sub(r.started) > 2*r.config.Beat
+}
+
+// Changed returns the number of the last change that entries must know.
+func (r *Registry) Changed() uint64 { return r.changed }
+
+// Len returns how many incarnations are known, gone ones included.
+func (r *Registry) Len() int { return len(r.records) }
+
+// Changes returns the records that changed after a number, for an entry.
+func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
+	return r.reports(now, func(held *record) bool { return held.changed > after })
+}
+
+// Beats returns the records that were heard of after a number, for a peer.
+func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
+	return r.reports(now, func(held *record) bool { return held.changed > after || held.beaten > after })
+}
+
+func (r *Registry) reports(now time.Time, wanted func(*record) bool) *wire.Reports {
+	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
+	for _, held := range r.records {
+		if wanted(held) {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+	}
+	slices.SortFunc(out.Endpoints, func(a, b *wire.EndpointReport) int { return strings.Compare(a.Id, b.Id) })
+	return out
+}
+
+func message(now time.Time, held *record) *wire.EndpointReport {
+	e, age := held.endpoint, now.Sub(held.heard)
+	return &wire.EndpointReport{
+		Id: e.ID, Number: e.Number, Service: e.Service, Address: e.Addr.String(), Domain: e.Domain, Slots: uint32(e.Slots),
+		Leaving: e.Leaving, Gone: e.Gone, WarmNanos: int64(max(0, e.Warm-age)), Sequence: e.Sequence,
+		AgeNanos: int64(age), Silent: held.silent,
+	}
+}
+
+// FromMessage returns the endpoint of a report; Warm counts from now.
+func FromMessage(m *wire.EndpointReport) Endpoint {
+	addr, _ := netip.ParseAddrPort(m.Address) // not valid for one that was heard of only as gone
+	return Endpoint{
+		ID: m.Id, Number: m.Number, Service: m.Service, Addr: addr, Domain: m.Domain, Slots: int(m.Slots),
+		Leaving: m.Leaving, Gone: m.Gone, Warm: time.Duration(m.WarmNanos), Sequence: m.Sequence,
+	}
+}
+
+// Merge takes the reports of another control instance. A report that an
+// incarnation is gone stands, whatever its sequence.
+func (r *Registry) Merge(now time.Time, reports *wire.Reports) {
+	for _, m := range reports.Endpoints {
+		e := FromMessage(m)
+		if e.Gone {
+			r.Leave(now, e.ID)
+			continue
+		}
+		age := time.Duration(m.AgeNanos)
+		e.Warm += age
+		r.Hear(now, e, age)
+	}
+}
--- a/internal/replica/append.go
+++ b/internal/replica/append.go
@@ -11,18 +11,16 @@
 // what the leader's lease counts from.
 func (r *Replica) broadcast(now time.Time) {
 	r.beatAt = now
-	for _, name := range r.log.voters() {
-		if name != r.config.Self {
-			r.sendAppend(now, name)
-		}
+	for _, name := range r.peers() {
+		r.sendAppend(now, name)
 	}
 }
 
 // sendNew sends entries that were appended since the last broadcast.
 func (r *Replica) sendNew(now time.Time) {
-	for _, name := range r.log.voters() {
+	for _, name := range r.peers() {
 		f := r.followers[name]
-		if name != r.config.Self && f != nil && f.next <= r.log.last() && now.Sub(f.inFlight) >= r.config.Heartbeat {
+		if f != nil && f.next <= r.log.last() && now.Sub(f.inFlight) >= r.config.Heartbeat {
 			r.sendAppend(now, name)
 		}
 	}
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -158,15 +158,16 @@
 	r.messages = append(r.messages, m)
 }
 
-// followAll makes progress of every other control instance known to a leader.
+// followAll makes progress of everybody whom a leader sends the log.
 func (r *Replica) followAll() {
-	for _, name := range r.log.voters() {
-		if name != r.config.Self && r.followers[name] == nil {
+	peers := r.peers()
+	for _, name := range peers {
+		if r.followers[name] == nil {
 			r.followers[name] = &progress{next: r.log.last()}
 		}
 	}
 	for name := range r.followers {
-		if !slices.Contains(r.log.voters(), name) {
+		if name != r.config.Self && !slices.Contains(peers, name) {
 			delete(r.followers, name)
 		}
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -75,6 +75,7 @@
 		preVote    bool
 
 		followers  map[string]*progress
+		learners   []string // are sent the log, but do not count
 		beatAt     time.Time
 		firstIndex uint64 // of the leader's own term
 
@@ -119,6 +120,48 @@
 // Voters returns the control instances by the last entry that names them.
 func (r *Replica) Voters() []string { return r.log.voters() }
 
+// SetLearners names the instances that a leader sends the log without their
+// counting for anything, so that one of them can become a voter at once.
+func (r *Replica) SetLearners(names []string) {
+	r.learners = names
+	if r.role == Leader {
+		r.followAll()
+	}
+}
+
+// Match returns up to which index an instance is known to hold the leader's
+// log, 0 where that is not known.
+func (r *Replica) Match(name string) uint64 {
+	if f := r.followers[name]; r.role == Leader && f != nil {
+		return f.match
+	}
+	return 0
+}
+
+// Confirmed reports whether what is committed here includes all that was
+// committed when the leader of the present term was elected: the last
+// committed entry is of this term.
+func (r *Replica) Confirmed() bool {
+	return r.leader != "" && r.hard.Term > 0 && r.log.term(r.commit) == r.hard.Term
+}
+
+// peers returns everybody that a leader sends the log.
+func (r *Replica) peers() []string {
+	voters := r.log.voters()
+	peers := make([]string, 0, len(voters)+len(r.learners))
+	for _, name := range voters {
+		if name != r.config.Self {
+			peers = append(peers, name)
+		}
+	}
+	for _, name := range r.learners {
+		if name != r.config.Self && !slices.Contains(voters, name) {
+			peers = append(peers, name)
+		}
+	}
+	return peers
+}
+
 // Current reports whether this instance is the leader, has committed an entry
 // of its own term, and can show a lease: a majority has promised to vote for
 // nobody else until after now.
--- /dev/null
+++ b/internal/steer/backend.go
@@ -0,0 +1,85 @@
+package steer
+
+import (
+	"time"
+
+	"oxbowsaddle/internal/registry"
+)
+
+const (
+	// strikesToSuspect is how many opened flows in a row stay without an
+	// answer before an endpoint is avoided: one may be a lost packet.
+	strikesToSuspect = 2
+	// suspectFirst and suspectMost bound how long it is avoided before one
+	// flow tries it again; the span doubles with each failure.
+	suspectFirst = time.Second
+	suspectMost  = 4 * time.Second
+	// flowLoad is what an open flow counts beside a request in progress: a
+	// long flow of one request a second that takes some 40 ms.
+	flowLoad = 0.05
+	// coldLoad is what an endpoint that is still slow counts in addition.
+	coldLoad = 0.3
+	// foreignLoad is what an endpoint of another failure domain counts in
+	// addition, and foreignBulkLoad where the answers are large.
+	foreignLoad     = 0.4
+	foreignBulkLoad = 1.0
+)
+
+// backend is an incarnation of an endpoint with what this entry saw of it.
+type backend struct {
+	registry.Endpoint
+	tag       uint32
+	warmUntil time.Time
+	goneAt    time.Time
+	silent    bool // by every control instance that knows it
+	shadowed  bool // another one has the same tag and comes first
+
+	flows        int // open through this entry
+	busy         int // requests of theirs that wait for the first byte of the answer
+	strikes      int // flows in a row that were not answered
+	suspectFor   time.Duration
+	suspectUntil time.Time
+}
+
+// answered takes the evidence that the endpoint answers.
+func (b *backend) answered() bool {
+	was := b.strikes >= strikesToSuspect
+	b.strikes, b.suspectFor, b.suspectUntil = 0, 0, time.Time{}
+	return was
+}
+
+// struck takes the evidence that it did not answer a flow; it reports whether
+// the endpoint is avoided from now on.
+func (b *backend) struck(now time.Time) bool {
+	b.strikes++
+	if b.strikes < strikesToSuspect || now.Before(b.suspectUntil) {
+		return false
+	}
+	b.suspectFor = min(max(suspectFirst, 2*b.suspectFor), suspectMost)
+	b.suspectUntil = now.Add(b.suspectFor)
+	return true
+}
+
+// suspect reports whether flows avoid it, as long as there are others.
+func (b *backend) suspect(now time.Time) bool {
+	return b.silent || now.Before(b.suspectUntil)
+}
+
+// open reports whether new flows may go to it at all.
+func (b *backend) open() bool { return !b.Leaving && !b.Gone && !b.shadowed }
+
+// load returns the share of its slots that is taken, as far as this entry
+// sees it, with what speaks against it.
+func (b *backend) load(now time.Time, domain string, bulk bool) float64 {
+	load := (float64(b.busy) + flowLoad*float64(b.flows)) / float64(max(1, b.Slots))
+	if now.Before(b.warmUntil) {
+		load += coldLoad
+	}
+	if b.Domain != domain {
+		if bulk {
+			return load + foreignBulkLoad
+		}
+		return load + foreignLoad
+	}
+	return load
+}
--- /dev/null
+++ b/internal/steer/packet.go
@@ -0,0 +1,73 @@
+// Package steer decides where an entry sends the packets of a fabric that
+// carries a tag with each flow: the opening packet of a flow is placed once by
+// what is known of the endpoints, and every later packet goes by its tag
+// alone, at any entry, with no record and no message. The package has no I/O,
+// and now is an argument. One goroutine at a time uses a Steerer.
+package steer
+
+import (
+	"net/netip"
+
+	"github.com/dchest/siphash"
+)
+
+// The flags of a packet.
+const (
+	Syn Flags = 1 << iota
+	Ack
+	Fin
+	Rst
+)
+
+// The keys of the tag's hash; they are part of the protocol between entries.
+const (
+	tagKey0 = 0x6f78626f77736164
+	tagKey1 = 0x646c652074616773
+)
+
+type (
+	// Flags is a set of flags.
+	Flags uint8
+
+	// Packet is what the head of a caller's packet says.
+	Packet struct {
+		Src, Dst netip.AddrPort
+		Flags    Flags
+		Tag      uint32 // 0 on an opening packet
+		Seq, Ack uint32
+		Copy     int // which repetition of an opening packet it is, 0 for the first
+		Len      int // bytes of data
+	}
+
+	// flowKey identifies a flow.
+	flowKey struct {
+		src, dst netip.AddrPort
+	}
+)
+
+// Has reports whether all the given flags are set.
+func (f Flags) Has(flags Flags) bool { return f&flags == flags }
+
+// Opens reports whether the packet asks for a new flow.
+func (p Packet) Opens() bool { return p.Flags == Syn }
+
+// Tag returns the tag of an incarnation of an endpoint; it is the same on
+// every entry, and never 0.
+func Tag(id string) uint32 {
+	h := siphash.Hash(tagKey0, tagKey1, []byte(id))
+	return max(1, uint32(h^h>>32))
+}
+
+// draw returns a number that is the same for all copies of an opening packet.
+func (p Packet) draw() uint64 {
+	var b [40]byte
+	src, dst := p.Src.Addr().As16(), p.Dst.Addr().As16()
+	copy(b[:16], src[:])
+	copy(b[16:32], dst[:])
+	ports := [...]uint16{p.Src.Port(), p.Dst.Port()}
+	for i, port := range ports {
+		b[32+2*i], b[33+2*i] = byte(port>>8), byte(port)
+	}
+	b[36], b[37], b[38], b[39] = byte(p.Seq>>24), byte(p.Seq>>16), byte(p.Seq>>8), byte(p.Seq)
+	return siphash.Hash(tagKey0, tagKey1, b[:])
+}
--- /dev/null
+++ b/internal/steer/steer.go
@@ -0,0 +1,206 @@
+package steer
+
+import (
+	"container/list"
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/document"
+)
+
+const (
+	// answerWithin is how long an opened flow may stay without a further
+	// packet of its caller before that counts against the endpoint: several
+	// round trips, and less than the 200 ms after which callers repeat.
+	answerWithin = 80 * time.Millisecond
+	// sweepEvery is how often unanswered and resting flows are looked for.
+	sweepEvery = 20 * time.Millisecond
+	// goneFor is how long ago an endpoint must have ended before packets of
+	// its flows are answered by a reset: until then it may still answer.
+	goneFor = 500 * time.Millisecond
+	// lastCopy is the repetition of an opening packet that goes elsewhere
+	// even though nothing else speaks against the first endpoint.
+	lastCopy = 2
+	// defaultIdle is how long a flow is remembered where no document says.
+	defaultIdle = 15 * time.Second
+)
+
+type (
+	// Config sets what a Steerer cannot learn.
+	Config struct {
+		Domain   string        // failure domain of this entry
+		MaxFlow  time.Duration // no flow is older
+		MaxFlows int           // records of flows that are kept for balance
+		// Suspected is called when an endpoint is avoided from now on, or no
+		// longer; nil where nobody listens.
+		Suspected func(id string, suspect bool)
+	}
+
+	// flow is what an entry remembers of a flow for balance and for copies of
+	// its opening packet; steering needs no record.
+	flow struct {
+		key     flowKey
+		backend *backend
+		first   uint32 // seq of the opening packet
+		opened  time.Time
+		seen    time.Time
+		open    bool // the caller went on
+		moved   bool // copies went to two endpoints
+		busy    bool // a request waits for its answer
+		asked   uint32
+		acked   uint32
+		resting *list.Element
+		opening *list.Element
+	}
+
+	// Steerer decides for one entry.
+	Steerer struct {
+		config   Config
+		document *document.Document
+		routes   map[netip.AddrPort]*route
+		dropped  map[netip.AddrPort]bool
+		byID     map[string]*backend
+		byTag    map[uint32]*backend
+		pools    map[string][]*backend
+		silentBy map[string]map[string]bool // by control instance, then endpoint
+		whole    bool
+
+		flows   map[flowKey]*flow
+		resting *list.List // flows, the longest at rest first
+		opening *list.List // flows not answered yet, the oldest first
+		sweepAt time.Time
+	}
+)
+
+// New returns a Steerer that knows nothing yet.
+func New(c Config) *Steerer {
+	return &Steerer{
+		config: c, dropped: map[netip.AddrPort]bool{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
+		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
+		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(),
+	}
+}
+
+// Decide says what to do with a caller's packet.
+func (s *Steerer) Decide(now time.Time, p Packet) Decision {
+	if !now.Before(s.sweepAt) {
+		s.sweepAt = now.Add(sweepEvery)
+		s.sweep(now)
+	}
+	if p.Flags.Has(Syn) {
+		if !p.Opens() || p.Len > 0 {
+			return Decision{Reason: Malformed}
+		}
+		return s.openFlow(now, p)
+	}
+	return s.steer(now, p)
+}
+
+// steer sends a packet of an open flow by its tag.
+func (s *Steerer) steer(now time.Time, p Packet) Decision {
+	f := s.flows[flowKey{p.Src, p.Dst}]
+	if s.dropped[p.Dst] {
+		s.end(f)
+		return Decision{Action: Reset, Reason: RouteDropped, Seq: p.Ack}
+	}
+	b, reason := s.byTag[p.Tag], Steered
+	if f != nil {
+		if f.moved && f.open {
+			b, reason = f.backend, Corrected
+		}
+		s.note(now, f, b, p)
+	}
+	if b == nil {
+		return Decision{Reason: UnknownTag}
+	}
+	if b.Gone && now.Sub(b.goneAt) > goneFor && !p.Flags.Has(Rst) {
+		s.end(f)
+		return Decision{Action: Reset, Reason: EndpointGone, Seq: p.Ack, ID: b.ID}
+	}
+	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
+}
+
+// openFlow places a new flow, or sends a copy after its first packet.
+func (s *Steerer) openFlow(now time.Time, p Packet) Decision {
+	if s.document == nil {
+		return Decision{Reason: NoTable}
+	}
+	r := s.routes[p.Dst]
+	if r == nil {
+		return Decision{Action: Reset, Reason: NoRoute, Seq: p.Ack}
+	}
+	f := s.flows[flowKey{p.Src, p.Dst}]
+	if f != nil && f.first != p.Seq {
+		s.end(f)
+		f = nil
+	}
+	if f != nil && !s.abandon(now, f, p) {
+		return f.backend.forward(Repeated)
+	}
+	var avoid *backend
+	if f != nil {
+		avoid = f.backend
+	}
+	b := s.choose(now, r, p, avoid)
+	switch {
+	case b == nil && f != nil:
+		return f.backend.forward(Repeated)
+	case b == nil && !s.whole:
+		return Decision{Reason: NoTable}
+	case b == nil:
+		return Decision{Action: Reset, Reason: NoEndpoint}
+	case f != nil:
+		s.move(now, f, b)
+		return b.forward(Replaced)
+	}
+	s.remember(now, p, b)
+	return b.forward(Placed)
+}
+
+func (b *backend) forward(reason Reason) Decision {
+	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
+}
+
+// abandon reports whether a copy goes to another endpoint: there is evidence
+// that the first one is silent, or it is the last copy.
+func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
+	return !f.open && (p.Copy >= lastCopy || !f.backend.open() || f.backend.suspect(now))
+}
+
+// choose returns the endpoint for a new flow: of the service that the route's
+// weights draw, the least loaded one that is not under suspicion; or, where
+// all are, the least loaded of these.
+func (s *Steerer) choose(now time.Time, r *route, p Packet, avoid *backend) *backend {
+	draw := p.draw()
+	pool := s.pools[r.service(draw)]
+	if len(pool) == 0 {
+		return nil
+	}
+	var best *backend
+	var bestLoad float64
+	bestSuspect := true
+	from := int(draw>>32) % len(pool) // so that ties do not all go to the first
+	for i := range pool {
+		b := pool[(from+i)%len(pool)]
+		if b == avoid || !b.open() {
+			continue
+		}
+		suspect, load := b.suspect(now), b.load(now, s.config.Domain, r.Bulk)
+		if best == nil || bestSuspect && !suspect || bestSuspect == suspect && load < bestLoad {
+			best, bestLoad, bestSuspect = b, load, suspect
+		}
+	}
+	return best
+}
+
+// service returns the service of a route that a draw falls on.
+func (r *route) service(draw uint64) string {
+	at := draw % r.weight
+	for _, share := range r.Shares {
+		if at < uint64(share.Weight) {
+			return share.Service
+		}
+		at -= uint64(share.Weight)
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
--- /dev/null
+++ b/internal/steer/table.go
@@ -0,0 +1,176 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/wire"
+)
+
+type (
+	// route is a route of the document with the endpoints of its services.
+	route struct {
+		document.Route
+		weight uint64 // sum over the shares
+	}
+
+	// Counts tells what a Steerer holds.
+	Counts struct {
+		Flows, Endpoints, Silent, Suspect int
+		Version                           uint64
+	}
+)
+
+// SetDocument puts a document in force; an older one than that in force
+// changes nothing. It reports whether it is in force now for the first time.
+func (s *Steerer) SetDocument(d *document.Document) bool {
+	if s.document != nil && d.Version() <= s.document.Version() {
+		return false
+	}
+	routes := make(map[netip.AddrPort]*route, len(d.Routes()))
+	for _, r := range d.Routes() {
+		entry := &route{Route: r}
+		for _, share := range r.Shares {
+			entry.weight += uint64(share.Weight)
+		}
+		routes[r.Addr] = entry
+		delete(s.dropped, r.Addr)
+	}
+	for addr := range s.routes {
+		if routes[addr] == nil {
+			s.dropped[addr] = true
+		}
+	}
+	s.document, s.routes = d, routes
+	return true
+}
+
+// Version returns the version in force, 0 before the first.
+func (s *Steerer) Version() uint64 {
+	if s.document == nil {
+		return 0
+	}
+	return s.document.Version()
+}
+
+// Learn takes what control instance source reports of endpoints.
+func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) {
+	heard := s.silentBy[source]
+	if heard == nil {
+		heard = map[string]bool{}
+		s.silentBy[source] = heard
+	}
+	for _, m := range reports.Endpoints {
+		heard[m.Id] = m.Silent
+		s.learn(now, registry.FromMessage(m))
+	}
+	s.whole = s.whole || reports.Whole
+	s.refresh()
+}
+
+// Forget drops what a control instance said about silence: it is out of reach.
+func (s *Steerer) Forget(source string) {
+	delete(s.silentBy, source)
+	s.refresh()
+}
+
+func (s *Steerer) learn(now time.Time, e registry.Endpoint) {
+	b := s.byID[e.ID]
+	switch {
+	case b == nil && e.Gone && !e.Addr.IsValid():
+		return
+	case b == nil:
+		b = &backend{Endpoint: e, tag: Tag(e.ID)}
+		s.byID[e.ID] = b
+		s.pools[e.Service] = append(s.pools[e.Service], b)
+		s.settleTag(b)
+	case b.Gone:
+		return
+	case e.Gone:
+		b.Gone = true
+	case e.Sequence <= b.Sequence:
+		return
+	default:
+		b.Endpoint = e
+	}
+	if b.Gone && b.goneAt.IsZero() {
+		b.goneAt = now
+	}
+	b.warmUntil = now.Add(e.Warm)
+}
+
+// settleTag gives the tag to one of the incarnations that hash to it: the one
+// whose id comes first, so that all entries decide alike. The others get no
+// flows.
+func (s *Steerer) settleTag(b *backend) {
+	first := s.byTag[b.tag]
+	switch {
+	case first == nil:
+		s.byTag[b.tag] = b
+	case first.ID < b.ID:
+		b.shadowed = true
+	default:
+		first.shadowed = true
+		s.byTag[b.tag] = b
+	}
+}
+
+// refresh works out which endpoints are silent to all that know them.
+func (s *Steerer) refresh() {
+	for id, b := range s.byID {
+		known, silent := 0, 0
+		for _, heard := range s.silentBy {
+			if quiet, ok := heard[id]; ok {
+				known++
+				if quiet {
+					silent++
+				}
+			}
+		}
+		b.silent = known > 0 && known == silent
+	}
+}
+
+// dropGone forgets incarnations that ended so long ago that no flow of theirs
+// can be left.
+func (s *Steerer) dropGone(now time.Time) {
+	for id, b := range s.byID {
+		if !b.Gone || now.Sub(b.goneAt) < s.config.MaxFlow {
+			continue
+		}
+		delete(s.byID, id)
+		if s.byTag[b.tag] == b {
+			delete(s.byTag, b.tag)
+		}
+		for _, heard := range s.silentBy {
+			delete(heard, id)
+		}
+		s.pools[b.Service] = without(s.pools[b.Service], b)
+	}
+}
+
+func without(pool []*backend, b *backend) []*backend {
+	kept := make([]*backend, 0, len(pool))
+	for _, other := range pool {
+		if other != b {
+			kept = append(kept, other)
+		}
+	}
+	return kept
+}
+
+// Counts returns what the Steerer holds.
+func (s *Steerer) Counts(now time.Time) Counts {
+	c := Counts{Flows: len(s.flows), Endpoints: len(s.byID), Version: s.Version()}
+	for _, b := range s.byID {
+		if b.silent {
+			c.Silent++
+		}
+		if now.Before(b.suspectUntil) {
+			c.Suspect++
+		}
+	}
+	return c
+}
