Serve at once after a loss of power: hints on disk, links that stay, short first attempts

Two of three links to control instances came 0.35 s after the first, since an attempt at a dark machine hung for 250 ms. Links from entries were ended every 1.2 s by the control instance, because an entry sent nothing.

Change: a control instance keeps its endpoints and a committed index on disk and offers both at once, as unconfirmed; an entry that knows nothing takes an unconfirmed document after 50 ms; attempts begin at 60 ms and double; an entry answers rosters.

Ruled out: a shorter lease. A leader with a disk of 200 ms a sync would lose it, and a restarted voter must wait it out.

--- a/Makefile
+++ b/Makefile
@@ -50,4 +50,4 @@
 
 generate: ## build the generated code again (needs protoc and its two plugins)
 	cd internal/wire && protoc --go_out=. --go_opt=paths=source_relative \
-		--go-drpc_out=. --go-drpc_opt=paths=source_relative wire.proto
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative wire.proto directory.proto
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -40,6 +40,9 @@
 		Founders []string
 		// Voters is how many voters are wanted.
 		Voters int
+		// Committed is an index up to which the log on disk is known to be
+		// committed, 0 where nothing is known.
+		Committed uint64
 		Rand   *rand.Rand
 	}
 
@@ -86,6 +89,14 @@
 			return nil, err
 		}
 	}
+	for _, e := range loaded.Entries {
+		if e.Index > c.Committed || len(e.Command) == 0 {
+			continue
+		}
+		if err := d.take(e.Command); err != nil {
+			return nil, err
+		}
+	}
 	d.replica = replica.New(replica.Config{
 		Self: c.Self, Voters: c.Founders, Heartbeat: Heartbeat, Lease: Lease, Drift: Drift, Rand: c.Rand,
 	}, now, loaded)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -97,6 +97,7 @@
 	group.Go(func() error { return links.run(ctx) })
 	group.Go(func() error { return c.endpoints.loop(ctx) })
 	group.Go(func() error { return c.loop(ctx) })
+	group.Go(func() error { return c.hintsLoop(ctx) })
 	return group.Wait()
 }
 
@@ -154,15 +155,15 @@
 		return
 	}
 	d, err := directory.New(directory.Config{
-		Self: identity.id, Address: c.config.Peer.String(), Front: c.config.Front, Domain: c.config.Domain,
-		Founders: identity.founders, Voters: c.config.Voters, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Self: identity.Id, Address: c.config.Peer.String(), Front: c.config.Front, Domain: c.config.Domain,
+		Founders: identity.Founders, Voters: c.config.Voters, Committed: c.loadHints(files).Commit, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now, loaded)
 	if err != nil {
 		c.config.Log.Error("log cannot be used", "error", err)
 		return
 	}
 	c.store, c.directory = store, d
-	c.config.Log.Info("log opened", "id", identity.id, "founders", identity.founders, "entries", len(loaded.Entries),
+	c.config.Log.Info("log opened", "id", identity.Id, "founders", identity.Founders, "entries", len(loaded.Entries),
 		"term", loaded.Hard.Term, "torn", loaded.Torn)
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -40,6 +40,12 @@
 	}
 }
 
+func (l *endpointList) changed() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Changed()
+}
+
 func (l *endpointList) changesAfter(number uint64) *wire.Reports {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -22,6 +22,12 @@
 	packetMost = 2048
 	// maxFlows bounds the records that an entry keeps for balance.
 	maxFlows = 200_000
+	// unconfirmedAfter is how long an entry that knows nothing waits for a
+	// document that is confirmed before it takes one that is not: a control
+	// instance that was away for long may be reached first, and another one
+	// moments later. After a loss of power everywhere none is confirmed until
+	// a leader is elected, and callers are served meanwhile.
+	unconfirmedAfter = 50 * time.Millisecond
 	// leaveMost is how long a stopping entry forwards on, so that routers
 	// turn away first: two readiness checks of half a second, and the longest
 	// wait until a caller repeats its opening packet.
@@ -158,22 +164,29 @@
 		"action", d.Action, "reason", d.Reason, "endpoint", d.ID)
 }
 
-// takeDocument puts a document in force.
+// takeDocument takes a committed document from a control instance.
 func (e *Entry) takeDocument(frame *wire.DocumentFrame) {
 	doc, err := document.FromMessage(frame.Document)
 	if err != nil {
 		e.config.Log.Error("document refused", "error", err)
 		return
 	}
+	if !frame.Confirmed && !e.confirmed.Load() {
+		time.AfterFunc(unconfirmedAfter, func() { e.putInForce(doc, false) })
+		return
+	}
+	e.putInForce(doc, frame.Confirmed)
+	if frame.Confirmed && !e.confirmed.Swap(true) {
+		e.config.Log.Info("ready", "version", doc.Version())
+	}
+}
+
+func (e *Entry) putInForce(doc *document.Document, confirmed bool) {
 	e.mu.Lock()
 	fresh := e.steerer.SetDocument(doc)
-	version := e.steerer.Version()
 	e.mu.Unlock()
 	if fresh {
-		e.config.Log.Info("document in force", "version", version, "routes", len(doc.Routes()), "confirmed", frame.Confirmed)
-	}
-	if frame.Confirmed && !e.confirmed.Swap(true) {
-		e.config.Log.Info("ready", "version", version)
+		e.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", confirmed)
 	}
 }
 
--- /dev/null
+++ b/internal/node/hints.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// hintsName is the file that keeps hints.
+	hintsName = "hints"
+	// hintsEvery bounds how often hints are written: two syncs each time.
+	hintsEvery = 250 * time.Millisecond
+)
+
+// loadHints reads what was known before the restart; a damaged file is none.
+func (c *Control) loadHints(files storage.Files) *wire.Hints {
+	hints := &wire.Hints{}
+	if _, err := storage.LoadMessage(files, hintsName, hints); err != nil {
+		c.config.Log.Warn("hints cannot be read", "error", err)
+		return &wire.Hints{}
+	}
+	if hints.Reports == nil {
+		return hints
+	}
+	c.endpoints.update(func(now time.Time, r *registry.Registry) {
+		for _, e := range hints.Reports.Endpoints {
+			e.AgeNanos = 0 // each gets a full round to be heard again
+		}
+		r.Merge(now, hints.Reports)
+	})
+	return hints
+}
+
+// hintsLoop writes hints when they have changed, beside the log's loop, which
+// must not wait for it.
+func (c *Control) hintsLoop(ctx context.Context) error {
+	ticker := time.NewTicker(hintsEvery)
+	defer ticker.Stop()
+	files, err := storage.Folder(c.config.Data)
+	if err != nil {
+		return err
+	}
+	var commit, number uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		known, changed := c.Status().Commit, c.endpoints.changed()
+		if known == commit && changed == number {
+			continue
+		}
+		hints := &wire.Hints{Commit: known, Reports: c.endpoints.changesAfter(0)}
+		if err := storage.SaveMessage(files, hintsName, hints); err != nil {
+			c.config.Log.Warn("hints not written", "error", err)
+			continue
+		}
+		commit, number = known, changed
+	}
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// dialTimeout is short, since a machine without power says nothing: the
-	// longest round trip between failure domains many times over.
-	dialTimeout = 250 * time.Millisecond
+	// dialFirst is how long the first attempt at an address may take. It is
+	// short, since a machine without power says nothing and may be back within
+	// a moment: several times the round trip between failure domains. Each
+	// failed attempt doubles it up to dialMost, for slow machines.
+	dialFirst = 60 * time.Millisecond
+	dialMost  = 500 * time.Millisecond
 	// redialAfter is the pause between two attempts at one address.
-	redialAfter = 100 * time.Millisecond
+	redialAfter = 40 * time.Millisecond
 	// frameEvery is how often each end of a link says something at least.
 	frameEvery = 200 * time.Millisecond
 	// linkIdle ends a link on which nothing came for so long: several frames.
@@ -64,9 +67,27 @@
 	return failed
 }
 
+// redial paces the attempts at one address.
+type redial struct {
+	timeout time.Duration // of the next attempt, 0 for dialFirst
+}
+
+// next returns how long the next attempt may take.
+func (r *redial) next() time.Duration {
+	if r.timeout == 0 {
+		r.timeout = dialFirst
+	}
+	now := r.timeout
+	r.timeout = min(2*r.timeout, dialMost)
+	return now
+}
+
+// reached makes the next attempt a first one again.
+func (r *redial) reached() { r.timeout = 0 }
+
 // dialLink opens a link to a control instance and says hello.
-func dialLink(ctx context.Context, address string, hello *wire.Hello) (wire.DRPCDirectory_LinkClient, func(), error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
+func dialLink(ctx context.Context, address string, timeout time.Duration, hello *wire.Hello) (wire.DRPCDirectory_LinkClient, func(), error) {
+	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Unreachable, err)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -30,6 +30,7 @@
 		address string
 		outbox  chan *wire.LogMessage
 		cancel  context.CancelFunc
+		redial  redial
 	}
 )
 
@@ -109,10 +110,11 @@
 
 // serve sends until the link fails.
 func (l *peerLink) serve(ctx context.Context) error {
-	stream, done, err := dialLink(ctx, l.address, &wire.Hello{Id: l.control.Status().Self, Control: true})
+	stream, done, err := dialLink(ctx, l.address, l.redial.next(), &wire.Hello{Id: l.control.Status().Self, Control: true})
 	if err != nil {
 		return err
 	}
+	l.redial.reached()
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -63,8 +63,9 @@
 
 // run keeps the link to one address up until its context ends.
 func (w *watch) run(ctx, all context.Context, address string) {
+	var pace redial
 	for ctx.Err() == nil {
-		err := w.follow(ctx, all, address)
+		err := w.follow(ctx, all, address, &pace)
 		if ctx.Err() == nil && fault.KindOf(err) == fault.Unreachable {
 			time.Sleep(redialAfter)
 		}
@@ -72,12 +73,13 @@
 }
 
 // follow takes what a control instance sends until the link fails.
-func (w *watch) follow(ctx, all context.Context, address string) error {
-	stream, done, err := dialLink(ctx, address, &wire.Hello{Id: w.entry.config.Name})
+func (w *watch) follow(ctx, all context.Context, address string, pace *redial) error {
+	stream, done, err := dialLink(ctx, address, pace.next(), &wire.Hello{Id: w.entry.config.Name})
 	if err != nil {
 		return err
 	}
 	defer done()
+	pace.reached()
 	w.entry.config.Log.Info("control instance reached", "control", address)
 	for {
 		frame, err := stream.Recv()
@@ -87,6 +89,12 @@
 			return err
 		}
 		w.take(all, address, frame)
+		if frame.GetRoster() != nil {
+			// Shows the control instance that somebody still listens.
+			if err := stream.Send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}}); err != nil {
+				return err
+			}
+		}
 	}
 }
 
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -233,11 +233,15 @@
 }
 
 func (s *Store) replaceFile(next, name string, m proto.Message) error {
+	return replaceFile(s.files, next, name, m)
+}
+
+func replaceFile(files Files, next, name string, m proto.Message) error {
 	data, err := encodeRecord(m)
 	if err != nil {
 		return err
 	}
-	f, err := s.files.Create(next)
+	f, err := files.Create(next)
 	if err != nil {
 		return err
 	}
@@ -245,7 +249,35 @@
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return err
 	}
-	return errors.Join(s.files.Rename(next, name), s.files.SyncDir())
+	return errors.Join(files.Rename(next, name), files.SyncDir())
+}
+
+// SaveMessage replaces a file of the folder by one checksummed message, and
+// returns once it lasts.
+func SaveMessage(files Files, name string, m proto.Message) error {
+	if err := replaceFile(files, name+".next", name, m); err != nil {
+		return diskFault("write "+name, err)
+	}
+	return nil
+}
+
+// LoadMessage reads what SaveMessage wrote; false is that there is no file.
+func LoadMessage(files Files, name string, m proto.Message) (bool, error) {
+	data, err := files.Read(name)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, diskFault("read "+name, err)
+	}
+	payload, rest, ok := cutRecord(data)
+	if !ok || len(rest) > 0 {
+		return false, damaged("the checksum of %s is wrong", name)
+	}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return false, damaged("%s cannot be read: %s", name, err)
+	}
+	return true, nil
 }
 
 // Close closes the log.
