A dead voter goes before its successor comes; schedules and tests of the directory

Change: a dead voter is removed first, then the newcomer is added. A voter that is only silent is removed only when a newcomer can take its place at once.

Ruled out: joint changes of two voters at once; the log makes single changes, and no schedule needs more.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -43,7 +44,7 @@
 		// Committed is an index up to which the log on disk is known to be
 		// committed, 0 where nothing is known.
 		Committed uint64
-		Rand   *rand.Rand
+		Rand      *rand.Rand
 	}
 
 	// Ready is what the caller must do, in this order: persist what Log says,
@@ -217,6 +218,7 @@
 		for index := range d.proposals {
 			ready.Lost = append(ready.Lost, index)
 		}
+		slices.Sort(ready.Lost)
 		clear(d.proposals)
 	}
 	if d.document != before {
@@ -244,8 +246,11 @@
 }
 
 // Compact returns what a snapshot at the applied index holds, with the log
-// that goes on after it.
+// that goes on after it; a nil file is that nothing was applied yet.
 func (d *Directory) Compact() (*wire.SnapshotFile, *wire.HardState, []*wire.LogEntry, error) {
+	if d.applied == 0 {
+		return nil, nil, nil, nil
+	}
 	var state []byte
 	if d.document != nil {
 		var err error
--- /dev/null
+++ b/internal/directory/fleet_test.go
@@ -0,0 +1,585 @@
+package directory
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/storage/storagetest"
+	"oxbowsaddle/internal/wire"
+)
+
+var (
+	firstSeed = flag.Uint64("directory.seed", 1, "first seed of the schedules")
+	runs      = flag.Uint64("directory.runs", 10, "how many schedules are run")
+)
+
+func TestDirectory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "directory")
+}
+
+const (
+	testStep = 5 * time.Millisecond
+	// catchUp is how long after its start an instance with an empty disk
+	// still counts as lost.
+	catchUp = 4 * time.Second
+	// begin is how long the first start is left alone.
+	begin = 5 * time.Second
+	// settle is how long everybody is left alone before the end is judged.
+	settle = 12 * time.Second
+)
+
+type (
+	// machine is one control instance with its disk and what it has shown.
+	machine struct {
+		address string
+		domain  string
+		disk    *storagetest.Memory
+		store   *storage.Store
+		id      string
+		lives   int // of its disk
+		d       *Directory
+		frozen  time.Time
+		emptyAt time.Time // when it last started with an empty disk
+		shown   uint64    // version in force in this life
+		waiting map[uint64]uint64
+	}
+
+	sent struct {
+		at       time.Time
+		from, to string
+		log      *wire.LogMessage
+		roster   *wire.Roster
+	}
+
+	// fleet drives control instances with lost, late, doubled and one-way
+	// messages, losses of power at every write, lost disks and replaced
+	// machines, and asserts what must hold.
+	fleet struct {
+		seed     uint64
+		rng      *rand.Rand
+		now      time.Time
+		losses   int
+		machines []*machine
+		flight   []sent
+		cut      map[[2]string]bool // from, to
+		version  uint64
+		acked    uint64
+		contents map[uint64]string
+		founders []string
+		rosterAt time.Time
+	}
+)
+
+func newFleet(seed uint64, n, losses int) *fleet {
+	f := &fleet{
+		seed: seed, rng: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(5000, 0), losses: losses,
+		cut: map[[2]string]bool{}, contents: map[uint64]string{},
+	}
+	for i := range n {
+		f.machines = append(f.machines, f.machine(i))
+	}
+	for i := range min(3, n) {
+		f.founders = append(f.founders, f.machines[i].address)
+	}
+	for i, m := range f.machines {
+		m.id = m.address
+		if i >= len(f.founders) {
+			m.id += "#0"
+		}
+		f.start(m)
+	}
+	return f
+}
+
+func (f *fleet) machine(i int) *machine {
+	return &machine{address: fmt.Sprintf("10.0.0.%d:7000", i), domain: fmt.Sprint("d", i%3), disk: storagetest.NewMemory()}
+}
+
+// start runs a machine on what its disk holds.
+func (f *fleet) start(m *machine) {
+	store, loaded, err := storage.Open(m.disk.Files())
+	Expect(err).NotTo(HaveOccurred(), "seed %d: %s", f.seed, m.id)
+	var founders []string
+	if m.lives == 0 && m.id == m.address {
+		founders = f.founders
+	}
+	m.store, m.shown, m.waiting, m.frozen = store, 0, map[uint64]uint64{}, time.Time{}
+	m.d, err = New(Config{
+		Self: m.id, Address: m.address, Domain: m.domain, Founders: founders, Voters: 2*f.losses + 1,
+		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
+	}, f.now, loaded)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (f *fleet) stop(m *machine) { m.d = nil }
+
+// wipe loses a machine's disk; it comes back as somebody else.
+func (f *fleet) wipe(m *machine) {
+	f.stop(m)
+	m.lives++
+	m.disk, m.id, m.emptyAt = storagetest.NewMemory(), fmt.Sprintf("%s#%d", m.address, m.lives), f.now
+}
+
+// lost counts the disks that may not hold yet what was acknowledged.
+func (f *fleet) lost() int {
+	n := 0
+	for _, m := range f.machines {
+		if !m.emptyAt.IsZero() && (m.d == nil || f.now.Sub(m.emptyAt) < catchUp) {
+			n++
+		}
+	}
+	return n
+}
+
+// calm reports whether most machines run undisturbed: only then may a machine
+// whose disk is lost be given the time to catch up.
+func (f *fleet) calm() bool {
+	up := 0
+	for _, m := range f.machines {
+		if m.d != nil && !m.frozen.After(f.now) {
+			up++
+		}
+	}
+	return up == len(f.machines) && len(f.cut) == 0
+}
+
+func (f *fleet) process(m *machine) {
+	ready, err := m.d.Ready(f.now)
+	Expect(err).NotTo(HaveOccurred())
+	if !f.persist(m, ready) {
+		f.stop(m)
+		return
+	}
+	for _, message := range ready.Log.Messages {
+		f.post(sent{from: m.address, to: AddressOf(message.To), log: message})
+	}
+	f.checkShown(m)
+	for _, index := range ready.Done {
+		f.acked = max(f.acked, m.waiting[index])
+	}
+}
+
+func (f *fleet) persist(m *machine, ready Ready) bool {
+	if s := ready.Log.Snapshot; s != nil && m.store.SaveSnapshot(s, &wire.HardState{Term: m.d.Status(f.now).Term}, nil) != nil {
+		return false
+	}
+	if r := ready.Log.Record; r != nil && m.store.Append(r) != nil {
+		return false
+	}
+	if f.rng.IntN(200) == 0 {
+		file, hard, after, err := m.d.Compact()
+		Expect(err).NotTo(HaveOccurred())
+		return file == nil || m.store.SaveSnapshot(file, hard, after) == nil
+	}
+	return true
+}
+
+// checkShown asserts that an instance goes only forward within one life, and
+// that a version means the same everywhere.
+func (f *fleet) checkShown(m *machine) {
+	doc := m.d.Document()
+	if doc == nil {
+		return
+	}
+	Expect(doc.Version()).To(BeNumerically(">=", m.shown), "seed %d: %s went back", f.seed, m.id)
+	m.shown = doc.Version()
+	content, known := f.contents[doc.Version()]
+	if !known {
+		f.contents[doc.Version()] = string(doc.Source())
+	} else {
+		Expect(string(doc.Source())).To(Equal(content), "seed %d: version %d is two things", f.seed, doc.Version())
+	}
+}
+
+func (f *fleet) post(s sent) {
+	if f.rng.IntN(100) < 3 || f.cut[[2]string{s.from, s.to}] {
+		return
+	}
+	for range 1 + f.rng.IntN(20)/19 {
+		s.at = f.now.Add(time.Duration(1+f.rng.IntN(20)) * time.Millisecond)
+		f.flight = append(f.flight, s)
+	}
+}
+
+func (f *fleet) at(address string) *machine {
+	for _, m := range f.machines {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(testStep)
+	batch := f.flight
+	f.flight = nil
+	for _, s := range batch {
+		m := f.at(s.to)
+		switch {
+		case s.at.After(f.now), m != nil && m.frozen.After(f.now):
+			f.flight = append(f.flight, s)
+		case m == nil || m.d == nil:
+		case s.log != nil:
+			m.d.Step(f.now, s.log)
+			f.process(m)
+		default:
+			m.d.Hear(f.now, s.roster)
+		}
+	}
+	for _, m := range f.machines {
+		if m.d != nil && !m.frozen.After(f.now) {
+			m.d.Tick(f.now)
+			f.process(m)
+		}
+	}
+	f.exchangeRosters()
+}
+
+// exchangeRosters lets each machine call those that it knows of, and the
+// seeds: the first three machines at their present addresses.
+func (f *fleet) exchangeRosters() {
+	if f.now.Before(f.rosterAt) {
+		return
+	}
+	f.rosterAt = f.now.Add(200 * time.Millisecond)
+	for _, m := range f.machines {
+		if m.d == nil || m.frozen.After(f.now) {
+			continue
+		}
+		roster := m.d.Roster(f.now)
+		called := map[string]bool{m.address: true}
+		for _, address := range append(m.d.Addresses(), f.machines[0].address, f.machines[1].address, f.machines[2].address) {
+			if !called[address] {
+				called[address] = true
+				f.post(sent{from: m.address, to: address, roster: roster})
+			}
+		}
+	}
+}
+
+// order offers the next version, or an old one again, to some machine.
+func (f *fleet) order() {
+	m := f.machines[f.rng.IntN(len(f.machines))]
+	if m.d == nil || m.frozen.After(f.now) {
+		return
+	}
+	version := f.version
+	if f.rng.IntN(4) > 0 {
+		f.version += 1 + f.rng.Uint64N(3)
+		version = f.version
+	}
+	index, done, err := m.d.Put(f.now, f.document(version))
+	switch {
+	case err != nil:
+	case done:
+		f.acked = max(f.acked, version)
+	default:
+		m.waiting[index] = version
+		f.process(m)
+	}
+}
+
+// document has another content each time, also under the same version.
+func (f *fleet) document(version uint64) *document.Document {
+	doc, faults := document.New(document.Config{Version: version, Source: fmt.Appendf(nil, "%d by %d", version, f.rng.Uint64())})
+	Expect(faults).To(BeEmpty())
+	return doc
+}
+
+// read asserts that whoever answers shows nothing older than acknowledged.
+func (f *fleet) read() {
+	for _, m := range f.machines {
+		if m.d == nil || m.frozen.After(f.now) {
+			continue
+		}
+		doc, err := m.d.Read(f.now)
+		if err != nil {
+			continue
+		}
+		version := uint64(0)
+		if doc != nil {
+			version = doc.Version()
+		}
+		Expect(version).To(BeNumerically(">=", f.acked), "seed %d: %s shows an old version", f.seed, m.id)
+	}
+}
+
+func (f *fleet) fault() {
+	m := f.machines[f.rng.IntN(len(f.machines))]
+	switch f.rng.IntN(14) {
+	case 0, 1:
+		m.disk.CrashAfter(f.rng.IntN(6)) // power fails at one of the next writes
+	case 2:
+		if f.lost() < f.losses {
+			f.wipe(m)
+		}
+	case 3:
+		f.replace(m)
+	case 4, 5:
+		m.frozen = f.now.Add(time.Duration(f.rng.IntN(3000)) * time.Millisecond)
+	case 6, 7:
+		other := f.machines[f.rng.IntN(len(f.machines))]
+		f.cut[[2]string{m.address, other.address}] = true // one way
+	case 8:
+		f.cutOff(m)
+	case 9:
+		f.powerOff()
+	default:
+		clear(f.cut)
+		f.mend()
+	}
+}
+
+func (f *fleet) cutOff(m *machine) {
+	for _, other := range f.machines {
+		f.cut[[2]string{m.address, other.address}] = true
+		f.cut[[2]string{other.address, m.address}] = true
+	}
+}
+
+// replace takes a machine away for good; an empty one comes elsewhere.
+func (f *fleet) replace(m *machine) {
+	if f.lost() >= f.losses {
+		return
+	}
+	for i, other := range f.machines {
+		if other == m {
+			f.stop(m)
+			fresh := f.machine(100 + int(f.rng.Uint64N(1000)))
+			fresh.domain, fresh.id, fresh.emptyAt, fresh.lives = m.domain, fresh.address+"#1", f.now, 1
+			f.machines[i] = fresh
+		}
+	}
+}
+
+func (f *fleet) powerOff() {
+	for _, m := range f.machines {
+		f.stop(m)
+	}
+}
+
+// mend starts what is down.
+func (f *fleet) mend() {
+	for _, m := range f.machines {
+		if m.d != nil && !m.disk.Crashed() {
+			continue
+		}
+		m.disk.Restart(f.rng.IntN(40))
+		if !m.emptyAt.IsZero() && m.d == nil && m.store == nil {
+			m.emptyAt = f.now // its time to catch up begins now
+		}
+		f.start(m)
+	}
+}
+
+func (f *fleet) run(steps int) {
+	for range begin / testStep {
+		f.step()
+	}
+	for range steps {
+		if f.rng.IntN(80) == 0 {
+			f.fault()
+		}
+		if f.rng.IntN(8) == 0 {
+			f.order()
+		}
+		if !f.calm() {
+			f.postponeCatchUp()
+		}
+		f.step()
+		f.read()
+	}
+}
+
+// postponeCatchUp restarts the time that lost disks are given while others
+// are disturbed too.
+func (f *fleet) postponeCatchUp() {
+	for _, m := range f.machines {
+		if !m.emptyAt.IsZero() && f.now.Sub(m.emptyAt) < catchUp {
+			m.emptyAt = f.now
+		}
+	}
+}
+
+// finish mends everything and asserts that what was acknowledged is there.
+func (f *fleet) finish() {
+	clear(f.cut)
+	f.mend()
+	for _, m := range f.machines {
+		m.frozen = time.Time{}
+		m.disk.CrashAfter(-1)
+	}
+	for range settle / testStep {
+		f.step()
+	}
+	leaders := 0
+	for _, m := range f.machines {
+		doc, err := m.d.Read(f.now)
+		if err != nil {
+			continue
+		}
+		leaders++
+		if f.acked > 0 {
+			Expect(doc).NotTo(BeNil(), "seed %d: everything acknowledged is lost", f.seed)
+			Expect(doc.Version()).To(BeNumerically(">=", f.acked), "seed %d: the newest acknowledged is lost", f.seed)
+		}
+	}
+	Expect(leaders).To(Equal(1), "seed %d: who can show the newest of %s", f.seed, f)
+	f.checkVoters()
+}
+
+// String tells what everybody believes.
+func (f *fleet) String() string {
+	var b strings.Builder
+	for _, m := range f.machines {
+		s := m.d.Status(f.now)
+		fmt.Fprintf(&b, "\n%s: %s of %q, term %d, commit %d, last %d, voters %v", m.id, s.Role, s.Leader, s.Term, s.Commit, m.d.replica.LastIndex(), s.Voters)
+	}
+	return b.String()
+}
+
+// checkVoters asserts that the voters are as many as wanted and all alive.
+func (f *fleet) checkVoters() {
+	for _, m := range f.machines {
+		s := m.d.Status(f.now)
+		if !s.Current {
+			continue
+		}
+		Expect(s.Voters).To(HaveLen(min(2*f.losses+1, len(f.machines))), "seed %d", f.seed)
+		for _, id := range s.Voters {
+			holder := f.at(AddressOf(id))
+			Expect(holder).NotTo(BeNil(), "seed %d: voter %s is gone", f.seed, id)
+			Expect(holder.id).To(Equal(id), "seed %d: voter %s has lost its disk", f.seed, id)
+		}
+	}
+}
+
+var _ = Describe("control instances under every loss", func() {
+	for _, size := range []struct{ machines, losses int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}} {
+		It(fmt.Sprintf("lose nothing acknowledged and show nothing old: %d of them, %d lost at once", size.machines, size.losses), func() {
+			for seed := *firstSeed; seed < *firstSeed+*runs; seed++ {
+				f := newFleet(seed, size.machines, size.losses)
+				f.run(4000)
+				f.finish()
+			}
+		})
+	}
+})
+
+// elect lets a fleet run undisturbed until its voters are as many as wanted.
+func elect(machines, losses int) *fleet {
+	f := newFleet(1, machines, losses)
+	for range begin / testStep {
+		f.step()
+	}
+	f.checkVoters()
+	return f
+}
+
+func (f *fleet) rest(d time.Duration) {
+	for range d / testStep {
+		f.step()
+	}
+}
+
+// leader returns the machine that leads.
+func (f *fleet) leader() *machine {
+	for _, m := range f.machines {
+		if m.d != nil && m.d.Status(f.now).Current {
+			return m
+		}
+	}
+	return nil
+}
+
+// acknowledge puts a document and waits until it is committed.
+func (f *fleet) acknowledge() {
+	before := f.acked
+	for range 2000 {
+		if f.order(); f.acked > before {
+			return
+		}
+		f.step()
+	}
+	Fail("nothing is acknowledged")
+}
+
+var _ = Describe("the voters", func() {
+	It("grow from the seeds to what the tolerance needs, spread over the failure domains", func() {
+		f := elect(6, 2)
+		domains := map[string]int{}
+		for _, id := range f.leader().d.Status(f.now).Voters {
+			domains[f.at(AddressOf(id)).domain]++
+		}
+		Expect(domains).To(HaveLen(3))
+		for _, n := range domains {
+			Expect(n).To(BeNumerically("<=", 2))
+		}
+	})
+
+	It("replace a machine that is gone for good by an empty one at another address", func() {
+		f := elect(3, 1)
+		f.acknowledge()
+		f.replace(f.leader())
+		f.rest(time.Second)
+		f.mend()
+		f.rest(catchUp)
+		f.checkVoters()
+	})
+
+	It("bear that a newcomer loses its disk again before it has caught up", func() {
+		f := elect(5, 2)
+		f.acknowledge()
+		first, second := f.machines[0], f.machines[1]
+		f.wipe(first)
+		f.replace(second)
+		f.mend()
+		f.rest(500 * time.Millisecond)
+		f.wipe(f.machines[1])
+		f.rest(3 * time.Second)
+		f.acknowledge()
+		f.mend()
+		f.rest(catchUp)
+		f.finish()
+	})
+
+	It("find the acknowledged when its holder's disk is lost as all others lose power", func() {
+		f := elect(3, 1)
+		behind := f.machines[2]
+		if behind == f.leader() {
+			behind = f.machines[1]
+		}
+		f.cutOff(behind) // misses the last changes
+		f.acknowledge()
+		f.acknowledge()
+		f.wipe(f.leader())
+		f.powerOff()
+		f.mend()
+		f.finish()
+	})
+
+	It("do not count an empty disk as a vote, whatever the rest of the machines do", func() {
+		f := elect(3, 1)
+		f.acknowledge()
+		holder, behind := f.machines[0], f.machines[1]
+		f.wipe(behind)
+		f.stop(f.machines[2])
+		f.stop(holder)
+		f.start(behind)
+		f.rest(5 * time.Second)
+		Expect(behind.d.Status(f.now).Role).To(Equal("follower"))
+		Expect(behind.d.Status(f.now).Voters).To(BeEmpty())
+		f.finish()
+	})
+})
--- a/internal/directory/members.go
+++ b/internal/directory/members.go
@@ -118,6 +118,7 @@
 	for _, id := range d.replica.Voters() {
 		add(AddressOf(id))
 	}
+	slices.Sort(all)
 	return all
 }
 
@@ -160,10 +161,12 @@
 	return now.Sub(heard) > deadAfter
 }
 
-// changeVoters proposes the next change of the voters, if one is wanted: a
-// dead voter goes once there are more than wanted, a learner that holds the
-// log comes while there are too few or one is dead. One change at a time; the
-// log refuses the next while one is not committed.
+// changeVoters proposes the next change of the voters, if one is wanted. A
+// dead voter goes first, and only then another one comes: the other order
+// would raise the majority by one, and the newcomer's loss, which is still the
+// same loss, would leave too few. A voter that is only silent may come back
+// with its disk, so it goes only when a newcomer can take its place at once.
+// One change at a time: the log refuses the next while one is not committed.
 func (d *Directory) changeVoters(now time.Time) {
 	voters := d.replica.Voters()
 	var dead, live []string
@@ -174,16 +177,24 @@
 			live = append(live, id)
 		}
 	}
+	// Those whose disk is lost for certain go first.
+	slices.SortStableFunc(dead, func(a, b string) int { return d.order(a) - d.order(b) })
+	newcomer := d.newcomer(now, live)
 	switch {
-	case len(voters) > d.config.Voters && len(dead) > 0:
+	case len(dead) > 0 && (d.replaced[dead[0]] || newcomer != "" || len(voters) > d.config.Voters):
 		d.propose(now, without(voters, dead[0]))
 	case len(voters) > d.config.Voters:
 		d.propose(now, without(voters, d.crowded(live)))
-	case len(voters) < d.config.Voters || len(dead) > 0:
-		if id := d.newcomer(now, live); id != "" {
-			d.propose(now, append(slices.Clone(voters), id))
-		}
+	case len(voters) < d.config.Voters && newcomer != "":
+		d.propose(now, append(slices.Clone(voters), newcomer))
+	}
+}
+
+func (d *Directory) order(id string) int {
+	if d.replaced[id] {
+		return 0
 	}
+	return 1
 }
 
 func (d *Directory) propose(now time.Time, voters []string) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -221,7 +221,7 @@
 		return nil
 	}
 	file, hard, after, err := c.directory.Compact()
-	if err != nil {
+	if err != nil || file == nil {
 		return err
 	}
 	return c.store.SaveSnapshot(file, hard, after)
