--- /dev/null
+++ b/internal/document/document_test.go
@@ -0,0 +1,63 @@
+package document
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDocument(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "document")
+}
+
+func valid() Config {
+	return Config{
+		Version: 7, Idle: 15 * time.Second, Source: []byte("as sent"),
+		Services: []Service{{Name: "booking", HealthPath: "/health", Connections: 2000}, {Name: "documents"}},
+		Routes: []Route{
+			{
+				Name: "r1", Addr: netip.MustParseAddrPort("198.18.0.1:443"), Repeatable: true, Timeout: time.Second,
+				Target: time.Millisecond, Priority: 2, Shares: []Share{{"booking", 90}, {"documents", 10}},
+			},
+			{Name: "r2", Addr: netip.MustParseAddrPort("198.18.0.1:80"), Timeout: time.Second, Shares: []Share{{"documents", 1}}},
+		},
+	}
+}
+
+var _ = Describe("a Document", func() {
+	It("is what it was after it has travelled", func() {
+		d, faults := New(valid())
+		Expect(faults).To(BeEmpty())
+		back, err := FromMessage(d.Message())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back).To(Equal(d))
+	})
+
+	DescribeTable("is refused with the place of each fault", func(break_ func(*Config), fault string) {
+		c := valid()
+		break_(&c)
+		d, faults := New(c)
+		Expect(d).To(BeNil())
+		Expect(faults).To(ContainElement(ContainSubstring(fault)))
+	},
+		Entry("unknown service", func(c *Config) { c.Routes[1].Shares[0].Service = "other" }, `routes[1] "r2": service "other" is not known`),
+		Entry("the same address twice", func(c *Config) { c.Routes[1].Addr = c.Routes[0].Addr }, `belongs to route "r1" too`),
+		Entry("no timeout", func(c *Config) { c.Routes[0].Timeout = 0 }, `routes[0] "r1": timeout`),
+		Entry("no weight", func(c *Config) { c.Routes[0].Shares[1].Weight = 0 }, `service "documents" has no weight`),
+		Entry("no service", func(c *Config) { c.Routes[0].Shares = nil }, "names no service"),
+		Entry("no address", func(c *Config) { c.Routes[0].Addr = netip.AddrPort{} }, "no valid address"),
+		Entry("a service twice", func(c *Config) { c.Services[1].Name = "booking" }, `services[1]: name "booking" stands twice`),
+		Entry("a service without a name", func(c *Config) { c.Services[1].Name = "" }, "services[1]: name is empty"),
+	)
+
+	It("names every fault, not just the first", func() {
+		c := valid()
+		c.Routes[0].Timeout, c.Routes[1].Timeout = 0, 0
+		_, faults := New(c)
+		Expect(faults).To(HaveLen(2))
+	})
+})
