A log line for each opened flow, bounded, and a writer that never waits

Cause: lines went straight to standard output from the packet loop, so a reader that stands still would have stopped packets; opened flows had no line at all.

--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -63,10 +63,18 @@
 			if err != nil {
 				return err
 			}
-			logger, err := telemetry.NewLogger(c.OutOrStdout(), "info", settings.Name)
+			lines := telemetry.NewLineWriter(c.OutOrStdout())
+			logger, err := telemetry.NewLogger(lines, "info", settings.Name)
 			if err != nil {
 				return err
 			}
+			logging, stopLogging := context.WithCancel(context.WithoutCancel(c.Context()))
+			flushed := make(chan error, 1)
+			go func() { flushed <- lines.Run(logging) }()
+			defer func() {
+				stopLogging()
+				<-flushed
+			}()
 			logger.Info("start", "role", use, "domain", settings.Domain, "seeds", settings.Seeds, "first", settings.First)
 			return run(c.Context(), platformProcess{settings: settings, path: path, log: logger})
 		},
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"oxbowsaddle/internal/document"
 	"oxbowsaddle/internal/fault"
@@ -28,6 +29,10 @@
 	// moments later. After a loss of power everywhere none is confirmed until
 	// a leader is elected, and callers are served meanwhile.
 	unconfirmedAfter = 50 * time.Millisecond
+	// flowLinesPerSecond and flowLinesAtOnce bound the log lines about flows:
+	// a line costs some 10 µs, so at most 0.1% of a core.
+	flowLinesPerSecond = 100
+	flowLinesAtOnce    = 300
 	// leaveMost is how long a stopping entry forwards on, so that routers
 	// turn away first: two readiness checks of half a second, and the longest
 	// wait until a caller repeats its opening packet.
@@ -68,12 +73,16 @@
 
 		mu      sync.Mutex
 		steerer *steer.Steerer
+
+		// Owned by run.
+		flowLines *rate.Limiter
+		leftOut   uint64 // lines about flows, since the last one
 	}
 )
 
 // NewEntry returns an entry that does not run yet.
 func NewEntry(c EntryConfig) *Entry {
-	e := &Entry{config: c}
+	e := &Entry{config: c, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows,
 		Suspected: func(id string, suspect bool) {
@@ -152,16 +161,23 @@
 		caller := netip.AddrPortFrom(p.Src.Addr(), e.config.Packets.Port())
 		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(out, p, d.Seq), caller)
 	}
-	e.logDecision(p, d)
+	e.logDecision(now, p, d)
 }
 
-// logDecision writes a line for each flow that is not just steered.
-func (e *Entry) logDecision(p steer.Packet, d steer.Decision) {
-	if d.Reason == steer.Steered || d.Reason == steer.Placed || d.Reason == steer.Corrected {
+// logDecision writes a line for each flow that is opened or is not just
+// steered: what complaints ask for. Lines beyond the rate are left out, and
+// the next one says how many.
+func (e *Entry) logDecision(now time.Time, p steer.Packet, d steer.Decision) {
+	if d.Reason == steer.Steered || d.Reason == steer.Corrected {
+		return
+	}
+	if !e.flowLines.AllowN(now, 1) {
+		e.leftOut++
 		return
 	}
 	e.config.Log.Info("flow", "caller", p.Src, "route", p.Dst, "seq", p.Seq, "copy", p.Copy, "tag", p.Tag,
-		"action", d.Action, "reason", d.Reason, "endpoint", d.ID)
+		"action", d.Action, "reason", d.Reason, "endpoint", d.ID, "version", d.Version, "left_out", e.leftOut)
+	e.leftOut = 0
 }
 
 // takeDocument takes a committed document from a control instance.
--- a/internal/steer/decision.go
+++ b/internal/steer/decision.go
@@ -41,7 +41,9 @@
 		Number uint64         // what names the endpoint's incarnation in front of the packet
 		Tag    uint32         // to be written into the packet
 		Seq    uint32         // of a reset: what the caller expects next
-		ID     string         // of the endpoint, for the log
+		// For the log: the endpoint's id, and the document that decided.
+		ID      string
+		Version uint64
 	}
 )
 
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -113,5 +113,8 @@
 		next = e.Next()
 		s.end(e.Value.(*flow))
 	}
-	s.dropGone(now)
+	if !now.Before(s.dropAt) {
+		s.dropAt = now.Add(dropGoneEvery)
+		s.dropGone(now)
+	}
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -15,6 +15,8 @@
 	answerWithin = 80 * time.Millisecond
 	// sweepEvery is how often unanswered and resting flows are looked for.
 	sweepEvery = 20 * time.Millisecond
+	// dropGoneEvery is how often ended incarnations are looked for.
+	dropGoneEvery = time.Second
 	// goneFor is how long ago an endpoint must have ended before packets of
 	// its flows are answered by a reset: until then it may still answer.
 	goneFor = 500 * time.Millisecond
@@ -69,6 +71,7 @@
 		resting *list.List // flows, the longest at rest first
 		opening *list.List // flows not answered yet, the oldest first
 		sweepAt time.Time
+		dropAt  time.Time
 	}
 )
 
@@ -91,7 +94,9 @@
 		if !p.Opens() || p.Len > 0 {
 			return Decision{Reason: Malformed}
 		}
-		return s.openFlow(now, p)
+		d := s.openFlow(now, p)
+		d.Version = s.Version()
+		return d
 	}
 	return s.steer(now, p)
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -193,12 +193,12 @@
 	It("refuses at once when no endpoint may take a flow, but not before it knows them all", func() {
 		leave := func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 2, true }
 		s.Learn(start, "c1", reports(report("booking", 1, leave), report("booking", 2, leave)))
-		Expect(s.Decide(start, opening(1000, 7, 0))).To(Equal(Decision{Action: Reset, Reason: NoEndpoint}))
+		Expect(s.Decide(start, opening(1000, 7, 0))).To(Equal(Decision{Action: Reset, Reason: NoEndpoint, Version: 1}))
 
 		fresh := New(Config{MaxFlows: 10})
 		fresh.SetDocument(testDocument(1, routeTo(bookingAddr, "booking")))
 		fresh.Learn(start, "c1", &wire.Reports{})
-		Expect(fresh.Decide(start, opening(1000, 7, 0))).To(Equal(Decision{Reason: NoTable}))
+		Expect(fresh.Decide(start, opening(1000, 7, 0))).To(Equal(Decision{Reason: NoTable, Version: 1}))
 	})
 
 	It("resets flows of an endpoint that has ended, once it can answer no more", func() {
