An entry's links do not change about between rosters

Cause, found by reading: the roster of one control instance decided alone which links stand, so one that has just started and lists only itself ended links to others, and with more instances than are watched each roster would have ended links that the last one began. Writing hints on a full disk could end the process.

Change: an address stays while any control instance in reach lists it; links that stand are kept first.

--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -40,10 +40,6 @@
 func (c *Control) hintsLoop(ctx context.Context) error {
 	ticker := time.NewTicker(hintsEvery)
 	defer ticker.Stop()
-	files, err := storage.Folder(c.config.Data)
-	if err != nil {
-		return err
-	}
 	var commit, number uint64
 	for {
 		select {
@@ -56,10 +52,18 @@
 			continue
 		}
 		hints := &wire.Hints{Commit: known, Reports: c.endpoints.changesAfter(0)}
-		if err := storage.SaveMessage(files, hintsName, hints); err != nil {
+		if err := c.saveHints(hints); err != nil {
 			c.config.Log.Warn("hints not written", "error", err)
 			continue
 		}
 		commit, number = known, changed
 	}
 }
+
+func (c *Control) saveHints(hints *wire.Hints) error {
+	files, err := storage.Folder(c.config.Data)
+	if err != nil {
+		return err
+	}
+	return storage.SaveMessage(files, hintsName, hints)
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		defer cancel()
-		l.receive(stream)
+		l.receiveLoop(stream)
 	}()
 	err = l.send(ctx, stream)
 	done()
@@ -129,8 +129,8 @@
 	return err
 }
 
-// receive takes receipts until the link fails.
-func (l *peerLink) receive(stream wire.DRPCDirectory_LinkClient) {
+// receiveLoop takes receipts until the link fails.
+func (l *peerLink) receiveLoop(stream wire.DRPCDirectory_LinkClient) {
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +12,8 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// watchMost is how many control instances an entry watches at once.
+// watchMost is how many control instances an entry watches at once. A change
+// that a majority of up to 13 holds reaches one of them.
 const watchMost = 7
 
 // watch keeps links from an entry to the control instances: whichever can be
@@ -18,47 +21,66 @@
 type watch struct {
 	entry *Entry
 
-	mu    sync.Mutex
-	seeds []string
-	links map[string]context.CancelFunc // by address
+	mu     sync.Mutex
+	seeds  []string
+	links  map[string]context.CancelFunc // by address
+	listed map[string][]string           // by the address of the roster's sender
 }
 
-func newWatch(e *Entry) *watch { return &watch{entry: e, links: map[string]context.CancelFunc{}} }
+func newWatch(e *Entry) *watch {
+	return &watch{entry: e, links: map[string]context.CancelFunc{}, listed: map[string][]string{}}
+}
 
 // setSeeds takes the addresses that the settings name now.
 func (w *watch) setSeeds(ctx context.Context, seeds []netip.AddrPort) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.seeds = nil
 	for _, s := range seeds {
 		w.seeds = append(w.seeds, s.String())
 	}
-	w.mu.Unlock()
-	w.connect(ctx, nil)
+	w.connect(ctx)
 }
 
-// connect keeps links to the seeds and to those that a roster lists; others
-// end once a roster has come.
-func (w *watch) connect(ctx context.Context, listed []string) {
+// takeRoster takes the roster of a control instance; nil is that it is out of reach.
+func (w *watch) takeRoster(ctx context.Context, source string, roster *wire.Roster) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	wanted := map[string]bool{}
-	for _, address := range append(listed, w.seeds...) {
-		if len(wanted) == watchMost {
-			break
+	delete(w.listed, source)
+	if roster != nil {
+		for _, c := range roster.Instances {
+			w.listed[source] = append(w.listed[source], c.Address)
 		}
-		wanted[address] = true
-		if w.links[address] == nil {
-			linkCtx, cancel := context.WithCancel(ctx)
-			w.links[address] = cancel
-			go w.run(linkCtx, ctx, address)
+	}
+	w.connect(ctx)
+}
+
+// connect keeps links to whatever is a seed or listed by anybody in reach, and
+// ends others. Links that stand are kept before others are begun, so that the
+// bound does not make them change about.
+func (w *watch) connect(ctx context.Context) {
+	named := map[string]bool{}
+	for _, address := range w.seeds {
+		named[address] = true
+	}
+	for _, list := range w.listed {
+		for _, address := range list {
+			named[address] = true
 		}
 	}
 	for address, cancel := range w.links {
-		if listed != nil && !wanted[address] {
+		if !named[address] {
 			cancel()
 			delete(w.links, address)
 		}
 	}
+	for _, address := range slices.Sorted(maps.Keys(named)) {
+		if w.links[address] == nil && len(w.links) < watchMost {
+			linkCtx, cancel := context.WithCancel(ctx)
+			w.links[address] = cancel
+			go w.run(linkCtx, ctx, address)
+		}
+	}
 }
 
 // run keeps the link to one address up until its context ends.
@@ -85,6 +107,7 @@
 		frame, err := stream.Recv()
 		if err != nil {
 			w.entry.forget(address)
+			w.takeRoster(all, address, nil)
 			w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
 			return err
 		}
@@ -105,10 +128,6 @@
 	case *wire.Frame_Reports:
 		w.entry.takeReports(address, body.Reports)
 	case *wire.Frame_Roster:
-		listed := make([]string, 0, len(body.Roster.Instances))
-		for _, c := range body.Roster.Instances {
-			listed = append(listed, c.Address)
-		}
-		w.connect(ctx, listed)
+		w.takeRoster(ctx, address, body.Roster)
 	}
 }
