Load, slopes and manual pages are a binary of their own, tools/

Cause: the one binary started through 467 packages, plots and fonts among them; at 0.088 of a core each millisecond of start is 11 ms of an entry's absence.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	go test ./internal/replica -run TestSchedules -count=1 -timeout 2h -replica.seed=$(SEED) -replica.runs=$$(( $(RUNS) * 20 ))
 
 slopes: ## measure the slopes that docs/CAPACITY.md stands on
-	go run . slopes --out docs/slopes
+	go run ./tools slopes --out docs/slopes
 
 fuzz: ## fuzz the decoder, the settings reader, the configuration reader and the log
 	go test ./internal/packet -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
@@ -46,7 +46,7 @@
 	go test ./internal/storage -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME)
 
 man: ## write the manual pages again
-	go run . man docs/man
+	go run ./tools man docs/man
 
 generate: ## build the generated code again (needs protoc and its two plugins)
 	cd internal/wire && protoc --go_out=. --go_opt=paths=source_relative \
--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -27,14 +27,19 @@
 	defaultTarget = "127.0.0.1:8100"
 )
 
-// usageError marks an error of the command line itself.
-type usageError struct{ error }
+// UsageError marks an error of the command line itself.
+type UsageError struct{ Err error }
 
-// Main runs the command line and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+// Error returns what is wrong with the line.
+func (e UsageError) Error() string { return e.Err.Error() }
+
+// Main runs the command line, with more commands beside its own, and returns
+// the exit code.
+func Main(args []string, out, errOut io.Writer, more ...*cobra.Command) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := newRoot()
+	root.AddCommand(more...)
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errOut)
@@ -43,7 +48,7 @@
 		return 0
 	}
 	kind := fault.KindOf(err)
-	var usage usageError
+	var usage UsageError
 	if errors.As(err, &usage) || isUsage(err) {
 		kind = fault.Usage
 	}
@@ -61,9 +66,9 @@
 		Use: "oxbowsaddle", Short: "a layer-4 load balancer that keeps flows up and explains itself",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return UsageError{err} })
 	root.AddCommand(cmdEntry(), cmdSettings(), cmdAccept(), cmdTeam(), cmdTemplate(), cmdStatus(), cmdHistory(), cmdDiff(), cmdRevert(),
-		cmdWhy(), cmdStats(), cmdControl(), cmdPlatform(), cmdDemo(), cmdLoad(), cmdSlopes(), cmdMan(), cmdVersion())
+		cmdWhy(), cmdStats(), cmdControl(), cmdPlatform(), cmdDemo(), cmdVersion())
 	return root
 }
 
@@ -88,10 +93,10 @@
 func (t *target) call(ctx context.Context, f func(context.Context, wire.DRPCControlClient) error) error {
 	addr, err := netip.ParseAddrPort(t.addr)
 	if err != nil {
-		return usageError{fmt.Errorf("--addr: %w", err)}
+		return UsageError{fmt.Errorf("--addr: %w", err)}
 	}
 	if t.output != "text" && t.output != "json" {
-		return usageError{fmt.Errorf("--output is text or json, not %q", t.output)}
+		return UsageError{fmt.Errorf("--output is text or json, not %q", t.output)}
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -140,7 +145,8 @@
 	return fault.New(k, "%s", detail)
 }
 
-func printJSON(w io.Writer, v any) error {
+// PrintJSON writes a value for a script to read.
+func PrintJSON(w io.Writer, v any) error {
 	encoder := json.NewEncoder(w)
 	encoder.SetIndent("", "  ")
 	return encoder.Encode(v)
@@ -149,7 +155,7 @@
 func exactArgs(n int) cobra.PositionalArgs {
 	return func(c *cobra.Command, args []string) error {
 		if err := cobra.ExactArgs(n)(c, args); err != nil {
-			return usageError{err}
+			return UsageError{err}
 		}
 		return nil
 	}
--- a/internal/cmd/cmd_accept.go
+++ b/internal/cmd/cmd_accept.go
@@ -103,7 +103,7 @@
 
 func (a *change) print(out io.Writer, r *wire.SubmitReply) error {
 	if a.output == "json" {
-		if err := printJSON(out, map[string]any{"id": a.id, "answer": r.Kind, "revision": r.Revision, "detail": r.Detail, "faults": r.Faults}); err != nil {
+		if err := PrintJSON(out, map[string]any{"id": a.id, "answer": r.Kind, "revision": r.Revision, "detail": r.Detail, "faults": r.Faults}); err != nil {
 			return err
 		}
 	} else {
--- a/internal/cmd/cmd_control.go
+++ b/internal/cmd/cmd_control.go
@@ -38,7 +38,7 @@
 			return refusal(r.Kind, r.Detail)
 		}
 		if a.json {
-			return printJSON(a.out, r.Voters)
+			return PrintJSON(a.out, r.Voters)
 		}
 		fmt.Fprintln(a.out, r.Voters)
 		return nil
--- a/internal/cmd/cmd_demo.go
+++ b/internal/cmd/cmd_demo.go
@@ -31,11 +31,11 @@
 			}
 			for _, e := range config.Events {
 				if !slices.Contains(demo.KnownEvents(), e) {
-					return usageError{fmt.Errorf("--events: %q is none of %v", e, demo.KnownEvents())}
+					return UsageError{fmt.Errorf("--events: %q is none of %v", e, demo.KnownEvents())}
 				}
 			}
 			if config.Placement != "" && config.Placement != instance.PlacementModulo {
-				return usageError{fmt.Errorf("--placement is empty or %s", instance.PlacementModulo)}
+				return UsageError{fmt.Errorf("--placement is empty or %s", instance.PlacementModulo)}
 			}
 			config.Now, config.Progress, config.Log, config.LogLevel = time.Now, c.OutOrStdout(), io.Discard, "error"
 			if verbose {
--- a/internal/cmd/cmd_history.go
+++ b/internal/cmd/cmd_history.go
@@ -21,7 +21,7 @@
 			return err
 		}
 		if a.json {
-			return printJSON(a.out, s.History)
+			return PrintJSON(a.out, s.History)
 		}
 		for _, h := range s.History {
 			fmt.Fprintf(a.out, "revision %d, %s, by %s, change %s:", h.Revision, time.Unix(0, h.UnixNano).UTC().Format(time.RFC3339), h.Change.Author, h.Change.Id)
@@ -38,7 +38,7 @@
 func findChange(ctx context.Context, client wire.DRPCControlClient, revision string) (*wire.HistoryEntry, error) {
 	number, err := strconv.ParseUint(revision, 10, 64)
 	if err != nil {
-		return nil, usageError{fmt.Errorf("revision %q is not a number", revision)}
+		return nil, UsageError{fmt.Errorf("revision %q is not a number", revision)}
 	}
 	s, err := askStatus(ctx, client, true)
 	if err != nil {
--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -89,7 +89,7 @@
 			if err != nil {
 				return err
 			}
-			return printJSON(c.OutOrStdout(), s)
+			return PrintJSON(c.OutOrStdout(), s)
 		},
 	}
 }
--- a/internal/cmd/cmd_stats.go
+++ b/internal/cmd/cmd_stats.go
@@ -34,7 +34,7 @@
 					}
 				}
 				if t.output == "json" {
-					return printJSON(c.OutOrStdout(), values)
+					return PrintJSON(c.OutOrStdout(), values)
 				}
 				return nil
 			})
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -25,7 +25,7 @@
 					return err
 				}
 				if t.output == "json" {
-					return printJSON(c.OutOrStdout(), s)
+					return PrintJSON(c.OutOrStdout(), s)
 				}
 				printStatus(c.OutOrStdout(), s)
 				return nil
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -62,7 +62,7 @@
 			return fault.Wrap(fault.Unreachable, err)
 		}
 		if t.output == "json" {
-			return printJSON(c.OutOrStdout(), reply)
+			return PrintJSON(c.OutOrStdout(), reply)
 		}
 		for _, d := range reply.Decisions {
 			printDecision(c.OutOrStdout(), d)
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -144,7 +144,7 @@
 }
 
 func table(w io.Writer, all []Slope) error {
-	_, err := fmt.Fprintf(w, "# Measured slopes\n\nMade by `make slopes` on %s/%s with %d cores, %s. One slope again: `go run . slopes --only NAME`.\n\n"+
+	_, err := fmt.Fprintf(w, "# Measured slopes\n\nMade by `make slopes` on %s/%s with %d cores, %s. One slope again: `go run ./tools slopes --only NAME`.\n\n"+
 		"| slope | grows with | points (size: cost) | at 0 | for one more | unit | largest residual |\n|---|---|---|---|---|---|---|\n",
 		runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())
 	for _, s := range all {
--- a/internal/cmd/cmd_load.go
+++ b/tools/load.go
@@ -1,4 +1,4 @@
-package cmd
+package main
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"oxbowsaddle/internal/cmd"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/intent"
 	"oxbowsaddle/internal/load"
@@ -25,7 +26,7 @@
 		Short: "put open-loop load on running entries, with stand-ins of fabric and backend servers",
 		Long: "Binds the fabric's address and every endpoint's address that the files name, so nothing else may use them.\n" +
 			"Accept the configuration first.",
-		Args: exactArgs(0),
+		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var err error
 			if config.Settings, err = settings.Load(file); err != nil {
@@ -52,7 +53,7 @@
 				}
 			}
 			if output == "json" {
-				return printJSON(c.OutOrStdout(), report)
+				return cmd.PrintJSON(c.OutOrStdout(), report)
 			}
 			printLoad(c, report)
 			return nil
@@ -81,7 +82,7 @@
 	for class, weight := range text {
 		w, err := strconv.ParseFloat(weight, 64)
 		if err != nil || w < 0 {
-			return nil, usageError{fmt.Errorf("--mix %s=%s: not a weight", class, weight)}
+			return nil, cmd.UsageError{Err: fmt.Errorf("--mix %s=%s: not a weight", class, weight)}
 		}
 		mix[class] = w
 	}
--- /dev/null
+++ b/tools/main.go
@@ -0,0 +1,15 @@
+// The tools of development: the commands of oxbowsaddle and, beside them, the
+// load tool, the slopes and the manual pages. They draw plots and pages, whose
+// libraries cost each start of a process a quarter of its time; the binary
+// that serves does without them.
+package main
+
+import (
+	"os"
+
+	"oxbowsaddle/internal/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr, cmdLoad(), cmdSlopes(), cmdMan()))
+}
--- a/internal/cmd/cmd_man.go
+++ b/tools/man.go
@@ -1,4 +1,4 @@
-package cmd
+package main
 
 import (
 	"os"
@@ -10,7 +10,7 @@
 // cmdMan writes the manual pages.
 func cmdMan() *cobra.Command {
 	return &cobra.Command{
-		Use: "man FOLDER", Short: "write a manual page in Markdown for each command", Hidden: true, Args: exactArgs(1),
+		Use: "man FOLDER", Short: "write a manual page in Markdown for each command", Hidden: true, Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			const mode = 0o755
 			if err := os.MkdirAll(args[0], mode); err != nil {
--- a/internal/cmd/cmd_slopes.go
+++ b/tools/slopes.go
@@ -1,4 +1,4 @@
-package cmd
+package main
 
 import (
 	"time"
@@ -12,7 +12,7 @@
 func cmdSlopes() *cobra.Command {
 	var config slopes.Config
 	c := &cobra.Command{
-		Use: "slopes", Short: "measure what costs grow with, for the capacity page", Args: exactArgs(0),
+		Use: "slopes", Short: "measure what costs grow with, for the capacity page", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			config.Now, config.Progress = time.Now, c.OutOrStdout()
 			_, err := slopes.Run(config)
