--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -28,7 +28,7 @@
 	// instance that was away for long may be reached first, and another one
 	// moments later. After a loss of power everywhere none is confirmed until
 	// a leader is elected, and callers are served meanwhile.
-	unconfirmedAfter = 50 * time.Millisecond
+	unconfirmedAfter = 25 * time.Millisecond
 	// flowLinesPerSecond and flowLinesAtOnce bound the log lines about flows:
 	// a line costs some 10 µs, so at most 0.1% of a core.
 	flowLinesPerSecond = 100
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -21,10 +21,10 @@
 	// short, since a machine without power says nothing and may be back within
 	// a moment: several times the round trip between failure domains. Each
 	// failed attempt doubles it up to dialMost, for slow machines.
-	dialFirst = 60 * time.Millisecond
+	dialFirst = 40 * time.Millisecond
 	dialMost  = 500 * time.Millisecond
 	// redialAfter is the pause between two attempts at one address.
-	redialAfter = 40 * time.Millisecond
+	redialAfter = 20 * time.Millisecond
 	// frameEvery is how often each end of a link says something at least.
 	frameEvery = 200 * time.Millisecond
 	// linkIdle ends a link on which nothing came for so long: several frames.
