What changes of an endpoint has a line at each control instance

With its sequence, the age of the last heartbeat, and whether it leaves, has ended or is silent; a planned stop of an entry tells of no lost links any more.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -78,7 +78,7 @@
 func NewControl(c ControlConfig) *Control {
 	const queue = 256
 	control := &Control{
-		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c.Now, c.Beat), waiting: map[uint64]chan bool{},
+		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), waiting: map[uint64]chan bool{},
 	}
 	control.status.Store(&directory.Status{})
 	control.published.Store(&published{})
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -22,9 +22,13 @@
 	confirmed map[string]uint64 // number by peer address
 }
 
-func newEndpointList(now func() time.Time, beat time.Duration) *endpointList {
+func newEndpointList(c ControlConfig) *endpointList {
+	changed := func(e registry.Endpoint, silent bool, age time.Duration) {
+		c.Log.Info("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Addr, "domain", e.Domain, "sequence", e.Sequence,
+			"leaving", e.Leaving, "gone", e.Gone, "silent", silent, "age", age)
+	}
 	return &endpointList{
-		now: now, registry: registry.New(registry.Config{Beat: beat}, now()), confirmed: map[string]uint64{},
+		now: c.Now, registry: registry.New(registry.Config{Beat: c.Beat, Changed: changed}, c.Now()), confirmed: map[string]uint64{},
 	}
 }
 
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -110,7 +110,6 @@
 
 // Leave takes the word of an endpoint that it ends, under the same condition.
 func (c *Control) Leave(ctx context.Context, id string) error {
-	c.config.Log.Info("endpoint left", "endpoint", id)
 	return c.awaitMajority(ctx, c.registryUpdate(func(now time.Time, r *registry.Registry) uint64 { return r.Leave(now, id) }))
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -108,7 +108,9 @@
 		if err != nil {
 			w.entry.forget(address)
 			w.takeRoster(all, address, nil)
-			w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
+			if ctx.Err() == nil {
+				w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
+			}
 			return err
 		}
 		w.take(all, address, frame)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,6 +41,9 @@
 	// Config sets the times of a Registry.
 	Config struct {
 		Beat time.Duration // an endpoint's heartbeat period
+		// Changed is called with what entries must learn of an endpoint, and
+		// how long ago it was heard; nil where nobody listens.
+		Changed func(e Endpoint, silent bool, age time.Duration)
 	}
 
 	// Registry is the set of records of one control instance. One goroutine
@@ -74,20 +77,21 @@
 	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
 		return max(held.changed, held.beaten), false
 	}
-	r.supersede(e)
+	r.supersede(now, e)
 	r.number++
 	heard := now.Add(-age)
+	changed := held == nil || material(held.endpoint, e) || held.silent
 	if held == nil {
 		held = &record{}
 		r.records[e.ID] = held
-		r.change(held)
-	} else if material(held.endpoint, e) || held.silent {
-		r.change(held)
 	}
 	held.endpoint, held.beaten, held.silent = e, r.number, false
 	if heard.After(held.heard) {
 		held.heard = heard
 	}
+	if changed {
+		r.change(now, held)
+	}
 	return r.number, true
 }
 
@@ -100,26 +104,31 @@
 
 // supersede marks other incarnations at the endpoint's address as gone: an
 // address is given away only after its endpoint has ended.
-func (r *Registry) supersede(e Endpoint) {
+func (r *Registry) supersede(now time.Time, e Endpoint) {
 	if e.Gone || r.records[e.ID] != nil {
 		return
 	}
 	for _, other := range r.records {
 		if other.endpoint.Addr == e.Addr && !other.endpoint.Gone {
-			r.end(other)
+			r.end(now, other)
 		}
 	}
 }
 
-func (r *Registry) end(held *record) {
+func (r *Registry) end(now time.Time, held *record) {
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
 	held.beaten = r.number
-	r.change(held)
+	r.change(now, held)
 }
 
 // change notes that entries must learn of the record.
-func (r *Registry) change(held *record) { held.changed, r.changed = r.number, r.number }
+func (r *Registry) change(now time.Time, held *record) {
+	held.changed, r.changed = r.number, r.number
+	if r.config.Changed != nil {
+		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
+	}
+}
 
 // Leave marks an incarnation as gone and returns the number of the change.
 func (r *Registry) Leave(now time.Time, id string) uint64 {
@@ -131,7 +140,7 @@
 	}
 	if !held.endpoint.Gone {
 		held.heard = now
-		r.end(held)
+		r.end(now, held)
 	}
 	return held.changed
 }
@@ -148,7 +157,7 @@
 		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
 			r.number++
 			held.silent = quiet
-			r.change(held)
+			r.change(now, held)
 		}
 	}
 }
