--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -69,8 +69,11 @@
 				return err
 			}
 			logging, stopLogging := context.WithCancel(context.WithoutCancel(c.Context()))
-			flushed := make(chan error, 1)
-			go func() { flushed <- lines.Run(logging) }()
+			flushed := make(chan struct{})
+			go func() {
+				defer close(flushed)
+				lines.Run(logging)
+			}()
 			defer func() {
 				stopLogging()
 				<-flushed
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -44,7 +44,7 @@
 
 // Run writes lines until the context ends, then what is still queued, as far
 // as the reader takes it within a moment.
-func (w *LineWriter) Run(ctx context.Context) error {
+func (w *LineWriter) Run(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -55,7 +55,6 @@
 	case <-done:
 	case <-time.After(flushMost):
 	}
-	return nil
 }
 
 func (w *LineWriter) run(ctx context.Context) {
