An entry asks one control instance for the document, and is sent what differs

Cause: each of an entry's links brought each document whole. On the grown deployments, with six links and some 20 KB a document, a change was 120 KB an entry, 0.4 s of its 2.4 Mbit/s, and after a loss of power the first table came only with the last one, since all six were loaded side by side.

Change: control instances offer a version; the entry asks one at a time, the newest first, another after 400 ms, and is sent the routes that differ from what it holds where the last eight versions have it. Links load their first table one after the other.

--- /dev/null
+++ b/internal/document/delta.go
@@ -0,0 +1,71 @@
+package document
+
+import (
+	"net/netip"
+	"reflect"
+
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// Frame returns the document as an entry is sent it: what differs from a
+// base that the entry holds, or the whole where there is none. An entry has no
+// use for the source.
+func (d *Document) Frame(base *Document, confirmed bool) *wire.DocumentFrame {
+	m := proto.CloneOf(d.Message())
+	m.Source = nil
+	f := &wire.DocumentFrame{Document: m, Confirmed: confirmed}
+	if base == nil {
+		return f
+	}
+	f.Base = base.Version()
+	held := base.byAddr()
+	m.Routes = nil
+	for i, r := range d.Routes() {
+		if other, ok := held[r.Addr]; !ok || !reflect.DeepEqual(other, r) {
+			m.Routes = append(m.Routes, d.Message().Routes[i])
+		}
+		delete(held, r.Addr)
+	}
+	for _, r := range base.Routes() {
+		if _, gone := held[r.Addr]; gone {
+			f.Removed = append(f.Removed, r.Addr.String())
+		}
+	}
+	return f
+}
+
+func (d *Document) byAddr() map[netip.AddrPort]Route {
+	routes := make(map[netip.AddrPort]Route, len(d.Routes()))
+	for _, r := range d.Routes() {
+		routes[r.Addr] = r
+	}
+	return routes
+}
+
+// FromFrame returns the document of a frame; held is what the entry has, nil
+// for none. A frame against another base is refused.
+func FromFrame(held *Document, f *wire.DocumentFrame) (*Document, error) {
+	if f.Base == 0 {
+		return FromMessage(f.Document)
+	}
+	if held == nil || held.Version() != f.Base {
+		return nil, fault.New(fault.Conflict, "document %d differs from version %d, which is not held", f.Document.Version, f.Base)
+	}
+	removed := map[string]bool{}
+	for _, address := range f.Removed {
+		removed[address] = true
+	}
+	for _, r := range f.Document.Routes {
+		removed[r.Address] = true
+	}
+	whole := proto.CloneOf(f.Document)
+	for _, r := range held.Message().Routes {
+		if !removed[r.Address] {
+			whole.Routes = append(whole.Routes, r)
+		}
+	}
+	return FromMessage(whole)
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,6 +29,9 @@
 	leaderPoll = 40 * time.Millisecond
 	// compactAt is the size of the log file at which a snapshot is taken.
 	compactAt = 1 << 20
+	// documentsKept is how many versions are remembered to send only what
+	// differs: an entry that is further behind is sent the whole.
+	documentsKept = 8
 	// reopenAfter is the pause before a disk that failed is tried again.
 	reopenAfter = 250 * time.Millisecond
 )
@@ -49,9 +52,10 @@
 		Now    func() time.Time
 	}
 
-	// published is what entries are told of the document.
+	// published is what entries are told of the document: the one in force
+	// is the last, before it some that entries may still hold.
 	published struct {
-		document  *document.Document
+		documents []*document.Document
 		confirmed bool
 	}
 
@@ -244,21 +248,52 @@
 	if !slices.Equal(status.Voters, last.Voters) {
 		c.config.Log.Info("voters", "voters", status.Voters, "before", last.Voters)
 	}
-	held, doc := c.published.Load(), c.directory.Document()
-	if doc == nil || held.document != nil && held.document.Version() > doc.Version() {
-		doc = held.document
-	}
-	next := &published{document: doc, confirmed: held.confirmed || status.Confirmed}
-	if next.document == held.document && next.confirmed == held.confirmed {
+	held := c.published.Load()
+	next := held.with(c.directory.Document(), held.confirmed || status.Confirmed)
+	if next == held {
 		return
 	}
 	c.published.Store(next)
 	c.documents.notify()
-	if doc != nil {
+	if doc := next.document(); doc != nil {
 		c.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", next.confirmed)
 	}
 }
 
+// document returns the one in force, nil where there is none.
+func (p *published) document() *document.Document {
+	if len(p.documents) == 0 {
+		return nil
+	}
+	return p.documents[len(p.documents)-1]
+}
+
+// find returns a remembered version, nil where it is not.
+func (p *published) find(version uint64) *document.Document {
+	for _, d := range p.documents {
+		if d.Version() == version {
+			return d
+		}
+	}
+	return nil
+}
+
+// with returns what is told once a document is in force: the same where it is
+// not newer and nothing else changes.
+func (p *published) with(doc *document.Document, confirmed bool) *published {
+	last := p.document()
+	newer := doc != nil && (last == nil || doc.Version() > last.Version())
+	if !newer && confirmed == p.confirmed {
+		return p
+	}
+	next := &published{documents: p.documents, confirmed: confirmed}
+	if newer {
+		next.documents = append(slices.Clone(p.documents), doc)
+		next.documents = next.documents[max(0, len(next.documents)-documentsKept):]
+	}
+	return next
+}
+
 // call runs f in the loop and waits for it.
 func (c *Control) call(ctx context.Context, f func(now time.Time, d *directory.Directory)) error {
 	done := make(chan error, 1)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -73,6 +73,9 @@
 
 		mu      sync.Mutex
 		steerer *steer.Steerer
+		held    *document.Document // the newest that has come, in force or about to be
+		fetch   *fetch
+		links   map[string]*entryLink // by address
 
 		// Owned by run.
 		flowLines *rate.Limiter
@@ -82,7 +85,7 @@
 
 // NewEntry returns an entry that does not run yet.
 func NewEntry(c EntryConfig) *Entry {
-	e := &Entry{config: c, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
+	e := &Entry{config: c, fetch: newFetch(), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows,
 		Suspected: func(id string, suspect bool) {
@@ -180,20 +183,71 @@
 	e.leftOut = 0
 }
 
-// takeDocument takes a committed document from a control instance.
-func (e *Entry) takeDocument(frame *wire.DocumentFrame) {
-	doc, err := document.FromMessage(frame.Document)
-	if err != nil {
-		e.config.Log.Error("document refused", "error", err)
+// reach notes that a control instance can be asked.
+func (e *Entry) reach(l *entryLink) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.links[l.address] = l
+}
+
+// takeOffer takes which version a control instance has in force.
+func (e *Entry) takeOffer(source string, offer *wire.DocumentOffer) {
+	e.mu.Lock()
+	e.fetch.offer(source, offer.Version)
+	held := e.held
+	e.mu.Unlock()
+	if offer.Confirmed && held != nil && held.Version() >= offer.Version {
+		e.putInForce(held, true)
+		e.confirm(held.Version())
+	}
+	e.askDocument()
+}
+
+// askDocument asks for the newest document that is on offer, if any is newer
+// than what is held.
+func (e *Entry) askDocument() {
+	now := e.config.Now()
+	e.mu.Lock()
+	held := uint64(0)
+	if e.held != nil {
+		held = e.held.Version()
+	}
+	link := e.links[e.fetch.next(now, held)]
+	e.mu.Unlock()
+	if link == nil {
 		return
 	}
-	if !frame.Confirmed && !e.confirmed.Load() {
+	// A link that fails is noticed where it is read; another one is asked then.
+	_ = link.send(&wire.Frame{Body: &wire.Frame_Want{Want: &wire.DocumentWant{Held: held}}})
+}
+
+// takeDocument takes a committed document from a control instance.
+func (e *Entry) takeDocument(source string, frame *wire.DocumentFrame) {
+	e.mu.Lock()
+	e.fetch.arrived(source)
+	doc, err := document.FromFrame(e.held, frame)
+	if err == nil && (e.held == nil || doc.Version() > e.held.Version()) {
+		e.held = doc
+	}
+	e.mu.Unlock()
+	switch {
+	case err != nil:
+		e.config.Log.Error("document refused", "control", source, "error", err)
+	case !frame.Confirmed && !e.confirmed.Load():
 		time.AfterFunc(unconfirmedAfter, func() { e.putInForce(doc, false) })
-		return
+	default:
+		e.putInForce(doc, frame.Confirmed)
 	}
-	e.putInForce(doc, frame.Confirmed)
-	if frame.Confirmed && !e.confirmed.Swap(true) {
-		e.config.Log.Info("ready", "version", doc.Version())
+	if err == nil && frame.Confirmed {
+		e.confirm(doc.Version())
+	}
+	e.askDocument()
+}
+
+// confirm notes that a document is known to be the newest of its term.
+func (e *Entry) confirm(version uint64) {
+	if !e.confirmed.Swap(true) {
+		e.config.Log.Info("ready", "version", version)
 	}
 }
 
@@ -216,5 +270,8 @@
 func (e *Entry) forget(source string) {
 	e.mu.Lock()
 	e.steerer.Forget(source)
+	e.fetch.lost(source)
+	delete(e.links, source)
 	e.mu.Unlock()
+	e.askDocument()
 }
--- /dev/null
+++ b/internal/node/fetch.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// fetchMost is how long one control instance may take to hand over the
+// document that it offered, before another one is asked: a large document over
+// a small link.
+const fetchMost = 400 * time.Millisecond
+
+// fetch decides from whom an entry asks the document: from one control
+// instance at a time, since a document may be large and the link small, and
+// from the one that offers the newest. Versions that are overtaken while one is
+// under way are never asked for.
+type fetch struct {
+	offers  map[string]uint64 // version by control instance
+	asked   string
+	askedAt time.Time
+}
+
+func newFetch() *fetch { return &fetch{offers: map[string]uint64{}} }
+
+func (f *fetch) offer(source string, version uint64) { f.offers[source] = version }
+
+// lost notes that a control instance is out of reach.
+func (f *fetch) lost(source string) {
+	delete(f.offers, source)
+	f.arrived(source)
+}
+
+// arrived notes that the one that was asked has answered.
+func (f *fetch) arrived(source string) {
+	if f.asked == source {
+		f.asked = ""
+	}
+}
+
+// next returns whom to ask now, "" for nobody.
+func (f *fetch) next(now time.Time, held uint64) string {
+	if f.asked != "" && now.Sub(f.askedAt) < fetchMost {
+		return ""
+	}
+	best, newest := "", held
+	for _, source := range slices.Sorted(maps.Keys(f.offers)) {
+		if version := f.offers[source]; version > newest && source != f.asked {
+			best, newest = source, version
+		}
+	}
+	if best == "" && f.asked != "" && f.offers[f.asked] > held {
+		best = f.asked // nobody else has it
+	}
+	f.asked, f.askedAt = best, now
+	return best
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -85,8 +85,8 @@
 // reached makes the next attempt a first one again.
 func (r *redial) reached() { r.timeout = 0 }
 
-// dialLink opens a link to a control instance and says hello.
-func dialLink(ctx context.Context, address string, timeout time.Duration, hello *wire.Hello) (wire.DRPCDirectory_LinkClient, func(), error) {
+// dialLink opens a link to a control instance; the caller then says hello.
+func dialLink(ctx context.Context, address string, timeout time.Duration) (wire.DRPCDirectory_LinkClient, func(), error) {
 	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -95,9 +95,6 @@
 	conn := drpcconn.New(linkConn{raw})
 	done := func() { _ = conn.Close() }
 	stream, err := wire.NewDRPCDirectoryClient(conn).Link(ctx)
-	if err == nil {
-		err = stream.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}})
-	}
 	if err != nil {
 		done()
 		return nil, nil, fault.Wrap(fault.Unreachable, err)
@@ -105,6 +102,10 @@
 	return stream, done, nil
 }
 
+func helloFrame(id string, control bool) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Id: id, Control: control}}}
+}
+
 // linkServer accepts links.
 type linkServer struct {
 	listener net.Listener
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -110,10 +110,14 @@
 
 // serve sends until the link fails.
 func (l *peerLink) serve(ctx context.Context) error {
-	stream, done, err := dialLink(ctx, l.address, l.redial.next(), &wire.Hello{Id: l.control.Status().Self, Control: true})
+	stream, done, err := dialLink(ctx, l.address, l.redial.next())
 	if err != nil {
 		return err
 	}
+	if err := stream.Send(helloFrame(l.control.Status().Self, true)); err != nil {
+		done()
+		return err
+	}
 	l.redial.reached()
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
@@ -57,15 +55,11 @@
 func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	feed := &entryFeed{control: h.control, stream: stream, wants: make(chan uint64, 1)}
 	go func() {
 		defer cancel()
-		for {
-			if _, err := stream.Recv(); err != nil {
-				return
-			}
-		}
+		feed.receiveLoop(ctx)
 	}()
-	feed := &entryFeed{control: h.control, stream: stream}
 	return feed.run(ctx)
 }
 
@@ -73,8 +67,28 @@
 type entryFeed struct {
 	control *Control
 	stream  wire.DRPCDirectory_LinkStream
-	sent    uint64 // number of the last reports
-	last    *published
+	wants   chan uint64 // the version that the entry holds, when it asks
+	sent    uint64      // number of the last reports
+	offered *published
+}
+
+// receiveLoop takes what the entry asks for until the link fails.
+func (f *entryFeed) receiveLoop(ctx context.Context) {
+	for {
+		frame, err := f.stream.Recv()
+		if err != nil {
+			return
+		}
+		want := frame.GetWant()
+		if want == nil {
+			continue // it just shows that it listens
+		}
+		select {
+		case f.wants <- want.Held:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // run sends until the link fails.
@@ -89,27 +103,31 @@
 		if err := f.sendNews(); err != nil {
 			return err
 		}
+		var err error
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case <-documents:
+		case held := <-f.wants:
+			err = f.sendDocument(held)
 		case <-ticker.C:
-			if err := f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: f.control.roster.Load()}}); err != nil {
-				return err
-			}
+			err = f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: f.control.roster.Load()}})
+		}
+		if err != nil {
+			return err
 		}
 	}
 }
 
+// sendNews offers a document that came in force, and reports endpoints.
 func (f *entryFeed) sendNews() error {
-	if p := f.control.published.Load(); p != f.last && p.document != nil {
-		m := proto.CloneOf(p.document.Message())
-		m.Source = nil // entries have no use for it
-		if err := f.stream.Send(&wire.Frame{Body: &wire.Frame_Document{Document: &wire.DocumentFrame{Document: m, Confirmed: p.confirmed}}}); err != nil {
+	if p := f.control.published.Load(); p != f.offered && p.document() != nil {
+		offer := &wire.DocumentOffer{Version: p.document().Version(), Confirmed: p.confirmed}
+		if err := f.stream.Send(&wire.Frame{Body: &wire.Frame_Offer{Offer: offer}}); err != nil {
 			return err
 		}
-		f.last = p
+		f.offered = p
 	}
 	reports := f.control.endpoints.changesAfter(f.sent)
 	if len(reports.Endpoints) == 0 && f.sent > 0 {
@@ -118,3 +136,14 @@
 	f.sent = reports.Number
 	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Reports{Reports: reports}})
 }
+
+// sendDocument sends what is in force, as what differs from the version that
+// the entry holds where that one is remembered.
+func (f *entryFeed) sendDocument(held uint64) error {
+	p := f.control.published.Load()
+	if p.document() == nil {
+		return nil
+	}
+	frame := p.document().Frame(p.find(held), p.confirmed)
+	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Document{Document: frame}})
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -16,6 +16,10 @@
 // that a majority of up to 13 holds reaches one of them.
 const watchMost = 7
 
+// turnMost is how long a link waits until another has loaded its first table:
+// some hundred endpoints over a link of 2 Mbit/s.
+const turnMost = 150 * time.Millisecond
+
 // watch keeps links from an entry to the control instances: whichever can be
 // reached tells what is in force, so that no single one can hold news back.
 type watch struct {
@@ -25,10 +29,11 @@
 	seeds  []string
 	links  map[string]context.CancelFunc // by address
 	listed map[string][]string           // by the address of the roster's sender
+	turn   chan struct{}                 // held by the link that loads its first table
 }
 
 func newWatch(e *Entry) *watch {
-	return &watch{entry: e, links: map[string]context.CancelFunc{}, listed: map[string][]string{}}
+	return &watch{entry: e, links: map[string]context.CancelFunc{}, listed: map[string][]string{}, turn: make(chan struct{}, 1)}
 }
 
 // setSeeds takes the addresses that the settings name now.
@@ -96,40 +101,87 @@
 
 // follow takes what a control instance sends until the link fails.
 func (w *watch) follow(ctx, all context.Context, address string, pace *redial) error {
-	stream, done, err := dialLink(ctx, address, pace.next(), &wire.Hello{Id: w.entry.config.Name})
+	stream, done, err := dialLink(ctx, address, pace.next())
 	if err != nil {
 		return err
 	}
 	defer done()
 	pace.reached()
 	w.entry.config.Log.Info("control instance reached", "control", address)
+	loaded := w.awaitTurn(ctx)
+	defer loaded()
+	link := &entryLink{watch: w, address: address, stream: stream}
+	err = link.serve(all, loaded)
+	w.entry.forget(address)
+	w.takeRoster(all, address, nil)
+	if ctx.Err() == nil {
+		w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
+	}
+	return err
+}
+
+// awaitTurn lets links load their first table one after the other, so that the
+// first one is not held up by the others on a small link. It returns what
+// gives the turn on; nobody waits for longer than turnMost.
+func (w *watch) awaitTurn(ctx context.Context) (loaded func()) {
+	select {
+	case w.turn <- struct{}{}:
+		return sync.OnceFunc(func() { <-w.turn })
+	case <-time.After(turnMost):
+	case <-ctx.Done():
+	}
+	return func() {}
+}
+
+// entryLink is the link of an entry to one control instance.
+type entryLink struct {
+	watch   *watch
+	address string
+	stream  wire.DRPCDirectory_LinkClient
+	mu      sync.Mutex // of sends
+}
+
+// serve says hello and takes what comes; loaded is called once the endpoints
+// have come.
+func (l *entryLink) serve(ctx context.Context, loaded func()) error {
+	if err := l.send(helloFrame(l.watch.entry.config.Name, false)); err != nil {
+		return err
+	}
+	l.watch.entry.reach(l)
 	for {
-		frame, err := stream.Recv()
+		frame, err := l.stream.Recv()
 		if err != nil {
-			w.entry.forget(address)
-			w.takeRoster(all, address, nil)
-			if ctx.Err() == nil {
-				w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
-			}
 			return err
 		}
-		w.take(all, address, frame)
-		if frame.GetRoster() != nil {
-			// Shows the control instance that somebody still listens.
-			if err := stream.Send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}}); err != nil {
-				return err
-			}
+		if err := l.take(ctx, frame); err != nil {
+			return err
+		}
+		if frame.GetReports() != nil {
+			loaded()
 		}
 	}
 }
 
-func (w *watch) take(ctx context.Context, address string, frame *wire.Frame) {
+func (l *entryLink) send(frame *wire.Frame) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stream.Send(frame)
+}
+
+func (l *entryLink) take(ctx context.Context, frame *wire.Frame) error {
+	entry := l.watch.entry
 	switch body := frame.Body.(type) {
+	case *wire.Frame_Offer:
+		entry.takeOffer(l.address, body.Offer)
 	case *wire.Frame_Document:
-		w.entry.takeDocument(body.Document)
+		entry.takeDocument(l.address, body.Document)
 	case *wire.Frame_Reports:
-		w.entry.takeReports(address, body.Reports)
+		entry.takeReports(l.address, body.Reports)
 	case *wire.Frame_Roster:
-		w.takeRoster(ctx, address, body.Roster)
+		l.watch.takeRoster(ctx, l.address, body.Roster)
+		entry.askDocument() // where the one that was asked has not answered
+		// Shows the control instance that somebody still listens.
+		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}})
 	}
+	return nil
 }
