A stopping entry forwards on for 1.3 s instead of 2.5 s

The first forwarded on for 2.5 s and then was away for 0.5 s, just when the second had turned unready: fewer than half of the zone were in, so routers used all, and packets went to the address of the one that was not running.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -33,10 +33,11 @@
 	// a line costs some 10 µs, so at most 0.1% of a core.
 	flowLinesPerSecond = 100
 	flowLinesAtOnce    = 300
-	// leaveMost is how long a stopping entry forwards on, so that routers
-	// turn away first: two readiness checks of half a second, and the longest
-	// wait until a caller repeats its opening packet.
-	leaveMost = 2500 * time.Millisecond
+	// leaveMost is how long a stopping entry forwards on, so that routers turn
+	// away first: they ask twice a second and turn away after two misses. Not
+	// longer: a zone of which fewer than half are in is sent packets for all of
+	// them, also for one that stopped a moment before the next.
+	leaveMost = 1300 * time.Millisecond
 )
 
 type (
