--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -50,6 +50,7 @@
 		d       *Directory
 		frozen  time.Time
 		emptyAt time.Time // when it last started with an empty disk
+		hint    uint64    // committed index on its disk, as it was at some time
 		shown   uint64    // version in force in this life
 		waiting map[uint64]uint64
 	}
@@ -115,7 +116,7 @@
 	}
 	m.store, m.shown, m.waiting, m.frozen = store, 0, map[uint64]uint64{}, time.Time{}
 	m.d, err = New(Config{
-		Self: m.id, Address: m.address, Domain: m.domain, Founders: founders, Voters: 2*f.losses + 1,
+		Self: m.id, Address: m.address, Domain: m.domain, Founders: founders, Voters: 2*f.losses + 1, Committed: m.hint,
 		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
 	}, f.now, loaded)
 	Expect(err).NotTo(HaveOccurred())
@@ -127,6 +128,7 @@
 func (f *fleet) wipe(m *machine) {
 	f.stop(m)
 	m.lives++
+	m.hint = 0
 	m.disk, m.id, m.emptyAt = storagetest.NewMemory(), fmt.Sprintf("%s#%d", m.address, m.lives), f.now
 }
 
@@ -164,6 +166,9 @@
 		f.post(sent{from: m.address, to: AddressOf(message.To), log: message})
 	}
 	f.checkShown(m)
+	if f.rng.IntN(20) == 0 {
+		m.hint = m.d.Status(f.now).Commit
+	}
 	for _, index := range ready.Done {
 		f.acked = max(f.acked, m.waiting[index])
 	}
@@ -187,6 +192,7 @@
 // checkShown asserts that an instance goes only forward within one life, and
 // that a version means the same everywhere.
 func (f *fleet) checkShown(m *machine) {
+	Expect(len(m.d.replica.Voters())).To(BeNumerically("<=", 2*f.losses+1), "seed %d: a newcomer came before the dead voter went", f.seed)
 	doc := m.d.Document()
 	if doc == nil {
 		return
@@ -582,4 +588,20 @@
 		Expect(behind.d.Status(f.now).Voters).To(BeEmpty())
 		f.finish()
 	})
+
+	It("offer after a restart only what was committed, not what was merely written", func() {
+		f := elect(3, 1)
+		f.acknowledge()
+		alone, before := f.leader(), f.acked
+		f.cutOff(alone)
+		alone.hint = alone.d.Status(f.now).Commit
+		_, done, err := alone.d.Put(f.now, f.document(before+10))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(BeFalse())
+		f.process(alone)
+		f.stop(alone)
+		alone.disk.Restart(0)
+		f.start(alone)
+		Expect(alone.d.Document().Version()).To(Equal(before))
+	})
 })
