The registry tells changes in proportion to the changes

Change: records are listed by their last change and by their last heartbeat, and the living by their address. A test holds the work of telling one change at 5 and at 5,000 endpoints equal.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -6,9 +6,8 @@
 package registry
 
 import (
+	"container/list"
 	"net/netip"
-	"slices"
-	"strings"
 	"time"
 
 	"oxbowsaddle/internal/wire"
@@ -52,8 +51,10 @@
 		config  Config
 		started time.Time
 		records map[string]*record
-		number  uint64 // of the last heartbeat or change
-		changed uint64 // of the last change that entries must know
+		living  map[netip.AddrPort]*record // by address, those that have not ended
+		changes *list.List                 // records, the one that changed last at the back
+		beats   *list.List                 // records, the one that was heard last at the back
+		number  uint64                     // of the last heartbeat or change
 	}
 
 	record struct {
@@ -62,12 +63,17 @@
 		silent   bool
 		changed  uint64 // number of the last change that entries must know
 		beaten   uint64 // number of the last heartbeat that peers must know
+		inChanges,
+		inBeats *list.Element
 	}
 )
 
 // New returns an empty registry.
 func New(c Config, now time.Time) *Registry {
-	return &Registry{config: c, started: now, records: map[string]*record{}}
+	return &Registry{
+		config: c, started: now, records: map[string]*record{}, living: map[netip.AddrPort]*record{},
+		changes: list.New(), beats: list.New(),
+	}
 }
 
 // Hear takes a heartbeat that came age ago, and returns the number of the
@@ -87,10 +93,12 @@
 		held = &record{}
 		r.records[e.ID] = held
 	}
-	held.endpoint, held.beaten, held.silent = e, r.number, false
+	held.endpoint, held.silent = e, false
 	if heard.After(held.heard) {
 		held.heard = heard
 	}
+	r.settle(held)
+	r.beat(held)
 	if changed {
 		r.change(now, held)
 	}
@@ -112,28 +120,55 @@
 	if e.Gone || r.records[e.ID] != nil {
 		return false
 	}
-	for _, other := range r.records {
-		switch {
-		case other.endpoint.Addr != e.Addr || other.endpoint.Gone:
-		case other.heard.After(heard):
-			ended = true
-		default:
-			r.end(now, other)
-		}
+	other := r.living[e.Addr]
+	if other == nil {
+		return false
+	}
+	if other.heard.After(heard) {
+		return true
+	}
+	r.end(now, other)
+	return false
+}
+
+// settle keeps the index of the living by address.
+func (r *Registry) settle(held *record) {
+	addr := held.endpoint.Addr
+	switch {
+	case !held.endpoint.Gone:
+		r.living[addr] = held
+	case r.living[addr] == held:
+		delete(r.living, addr)
+	}
+}
+
+// beat notes that peers must learn of the record.
+func (r *Registry) beat(held *record) {
+	held.beaten = r.number
+	held.inBeats = toBack(r.beats, held.inBeats, held)
+}
+
+// toBack moves a record's element to the back, or makes it.
+func toBack(l *list.List, e *list.Element, held *record) *list.Element {
+	if e == nil {
+		return l.PushBack(held)
 	}
-	return ended
+	l.MoveToBack(e)
+	return e
 }
 
 func (r *Registry) end(now time.Time, held *record) {
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
-	held.beaten = r.number
+	r.settle(held)
+	r.beat(held)
 	r.change(now, held)
 }
 
 // change notes that entries must learn of the record.
 func (r *Registry) change(now time.Time, held *record) {
-	held.changed, r.changed = r.number, r.number
+	held.changed = r.number
+	held.inChanges = toBack(r.changes, held.inChanges, held)
 	if r.config.Changed != nil {
 		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
 	}
@@ -160,7 +195,7 @@
 	for id, held := range r.records {
 		age := now.Sub(held.heard)
 		if age > forgetBeats*r.config.Beat {
-			delete(r.records, id)
+			r.forget(id, held)
 			continue
 		}
 		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
@@ -171,6 +206,15 @@
 	}
 }
 
+func (r *Registry) forget(id string, held *record) {
+	delete(r.records, id)
+	if r.living[held.endpoint.Addr] == held {
+		delete(r.living, held.endpoint.Addr)
+	}
+	r.changes.Remove(held.inChanges)
+	r.beats.Remove(held.inBeats)
+}
+
 // Whole reports whether every endpoint has had the time to send a heartbeat
 // since the registry began; until then a missing one means nothing.
 func (r *Registry) Whole(now time.Time) bool {
@@ -178,29 +222,33 @@
 }
 
 // Changed returns the number of the last change that entries must know.
-func (r *Registry) Changed() uint64 { return r.changed }
+func (r *Registry) Changed() uint64 {
+	if last := r.changes.Back(); last != nil {
+		return last.Value.(*record).changed
+	}
+	return 0
+}
 
 // Len returns how many incarnations are known, gone ones included.
 func (r *Registry) Len() int { return len(r.records) }
 
-// Changes returns the records that changed after a number, for an entry.
+// Changes returns the records that changed after a number, for an entry, the
+// last one first. Its work grows with their number, not with that of all.
 func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
-	return r.reports(now, func(held *record) bool { return held.changed > after })
+	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
+	for e := r.changes.Back(); e != nil && e.Value.(*record).changed > after; e = e.Prev() {
+		out.Endpoints = append(out.Endpoints, message(now, e.Value.(*record)))
+	}
+	return out
 }
 
-// Beats returns the records that were heard of after a number, for a peer.
+// Beats returns the records that were heard of after a number, for a peer, as
+// Changes does.
 func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
-	return r.reports(now, func(held *record) bool { return held.changed > after || held.beaten > after })
-}
-
-func (r *Registry) reports(now time.Time, wanted func(*record) bool) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for _, held := range r.records {
-		if wanted(held) {
-			out.Endpoints = append(out.Endpoints, message(now, held))
-		}
+	for e := r.beats.Back(); e != nil && e.Value.(*record).beaten > after; e = e.Prev() {
+		out.Endpoints = append(out.Endpoints, message(now, e.Value.(*record)))
 	}
-	slices.SortFunc(out.Endpoints, func(a, b *wire.EndpointReport) int { return strings.Compare(a.Id, b.Id) })
 	return out
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -131,4 +132,30 @@
 		Expect(r.Whole(start.Add(beat))).To(BeFalse())
 		Expect(r.Whole(start.Add(3 * beat))).To(BeTrue())
 	})
+
+	It("tells a change with work that does not grow with the number of endpoints", func() {
+		work := func(endpoints int) float64 {
+			r := New(Config{Beat: beat}, start)
+			for n := range endpoints {
+				addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 80)
+				r.Hear(start, endpoint(fmt.Sprint(n), 1, func(e *Endpoint) { e.Addr = addr }), 0)
+			}
+			before := r.Changed()
+			r.Hear(start, endpoint("0", 2, leaving), 0)
+			Expect(r.Changes(start, before).Endpoints).To(HaveLen(1))
+			Expect(r.Beats(start, before).Endpoints).To(HaveLen(1))
+			return testing.AllocsPerRun(10, func() { r.Changes(start, before) })
+		}
+		Expect(work(5000)).To(Equal(work(5)))
+	})
+
+	It("settles who lives at an address by an index, also after one was forgotten", func() {
+		r.Hear(start, endpoint("a", 1, nil), 0)
+		later := start.Add((forgetBeats + 1) * beat)
+		r.Sweep(later)
+		r.Hear(later, endpoint("b", 1, nil), 0)
+		r.Hear(later.Add(beat), endpoint("c", 1, nil), 0)
+		Expect(find(r.Changes(later, 0), "b").Gone).To(BeTrue())
+		Expect(find(r.Changes(later, 0), "c").Gone).To(BeFalse())
+	})
 })
