--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -147,7 +147,7 @@
 	}
 	const perLoss = 2 // so many voters more for each lost instance, and one
 	control := node.NewControl(node.ControlConfig{
-		Name: s.Name, Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First, Data: s.Data,
+		Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First, Data: s.Data,
 		Voters: perLoss*s.Losses + 1, Beat: s.Beat, Log: p.log, Now: node.SteadyClock(),
 	})
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -51,8 +51,6 @@
 	// send its messages, then tell Done to those who wait.
 	Ready struct {
 		Log replica.Ready
-		// Document is set where another one is in force now.
-		Document *document.Document
 		// Done holds the proposals that are committed, Lost those of which it
 		// is not known, since this instance leads no more.
 		Done, Lost []uint64
@@ -203,7 +201,6 @@
 // fails to persist must not use this instance any further.
 func (d *Directory) Ready(now time.Time) (Ready, error) {
 	ready := Ready{Log: d.replica.Ready(now)}
-	before := d.document
 	if s := ready.Log.Snapshot; s != nil {
 		if err := d.restore(s); err != nil {
 			return ready, err
@@ -221,9 +218,6 @@
 		slices.Sort(ready.Lost)
 		clear(d.proposals)
 	}
-	if d.document != before {
-		ready.Document = d.document
-	}
 	return ready, nil
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -40,7 +40,6 @@
 type (
 	// ControlConfig is what a control instance is told.
 	ControlConfig struct {
-		Name   string
 		Domain string
 		Peer   netip.AddrPort   // listens for links
 		Front  string           // where operators and endpoints call
