The control instance in files by job

Orders keep their limits beside them. The list of endpoints has hear, leave and merge in place of a general function on the control instance. Behaviour is unchanged.

--- /dev/null
+++ b/internal/node/disk.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+const (
+	// compactAt is the size of the log file at which a snapshot is taken.
+	compactAt = 1 << 20
+	// reopenAfter is the pause before a disk that failed is tried again.
+	reopenAfter = 250 * time.Millisecond
+)
+
+// open reads the data folder; where that fails it is tried again later.
+func (c *Control) open(now time.Time) {
+	c.reopenAt = now.Add(reopenAfter)
+	files, err := storage.Folder(c.config.Data)
+	if err != nil {
+		c.config.Log.Error("data folder cannot be opened", "error", err)
+		return
+	}
+	identity, err := loadIdentity(files, c.config)
+	if err != nil {
+		c.config.Log.Error("identity cannot be kept", "error", err)
+		return
+	}
+	store, loaded, err := storage.Open(files)
+	if err != nil {
+		c.config.Log.Error("log cannot be opened", "error", err, "next", fault.KindOf(err).Answer().NextStep())
+		return
+	}
+	d, err := directory.New(directory.Config{
+		Self: identity.Id, Address: c.config.Peer.String(), Front: c.config.Front, Domain: c.config.Domain,
+		Founders: identity.Founders, Voters: c.config.Voters, Committed: c.loadHints(files).Commit, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, now, loaded)
+	if err != nil {
+		c.config.Log.Error("log cannot be used", "error", err)
+		return
+	}
+	c.store, c.directory = store, d
+	c.config.Log.Info("log opened", "id", identity.Id, "founders", identity.Founders, "entries", len(loaded.Entries),
+		"term", loaded.Hard.Term, "torn", loaded.Torn)
+}
+
+// close gives the disk up until it can be opened again, as after a crash.
+func (c *Control) close(now time.Time) {
+	_ = c.store.Close() // it has failed already
+	c.store, c.directory, c.reopenAt = nil, nil, now.Add(reopenAfter)
+	c.status.Store(&directory.Status{})
+	for index := range c.waiting {
+		c.answer(index, false)
+	}
+}
+
+// persist writes what must last before anything is sent, and takes a snapshot
+// once the log has grown to compactAt.
+func (c *Control) persist(ready directory.Ready) error {
+	if s := ready.Log.Snapshot; s != nil {
+		hard := &wire.HardState{Term: c.directory.Status(c.config.Now()).Term}
+		if r := ready.Log.Record; r != nil && r.Hard != nil {
+			hard = r.Hard
+		}
+		if err := c.store.SaveSnapshot(s, hard, nil); err != nil {
+			return err
+		}
+	}
+	if ready.Log.Record != nil {
+		if err := c.store.Append(ready.Log.Record); err != nil {
+			return err
+		}
+	}
+	if c.store.Size() < compactAt {
+		return nil
+	}
+	file, hard, after, err := c.directory.Compact()
+	if err != nil || file == nil {
+		return err
+	}
+	return c.store.SaveSnapshot(file, hard, after)
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -44,18 +44,39 @@
 	}
 }
 
+// hear takes a heartbeat and returns the number of the change.
+func (l *endpointList) hear(e registry.Endpoint) (number uint64) {
+	l.update(func(now time.Time, r *registry.Registry) { number, _ = r.Hear(now, e, 0) })
+	return number
+}
+
+// leave marks an incarnation as gone and returns the number of the change.
+func (l *endpointList) leave(id string) (number uint64) {
+	l.update(func(now time.Time, r *registry.Registry) { number = r.Leave(now, id) })
+	return number
+}
+
+// merge takes the reports of another control instance.
+func (l *endpointList) merge(reports *wire.Reports) {
+	l.update(func(now time.Time, r *registry.Registry) { r.Merge(now, reports) })
+}
+
+// changed returns the number of the last change that entries must know.
 func (l *endpointList) changed() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.registry.Changed()
 }
 
+// changesAfter returns what entries must know of the changes after a number.
 func (l *endpointList) changesAfter(number uint64) *wire.Reports {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.registry.Changes(l.now(), number)
 }
 
+// beatsAfter returns what the other control instances must know of the
+// heartbeats and changes after a number.
 func (l *endpointList) beatsAfter(number uint64) *wire.Reports {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,7 +91,8 @@
 	l.receipts.notify()
 }
 
-// await waits until enough of the instances at the addresses hold a change.
+// await waits until enough of the instances at the addresses hold a change;
+// the error, once the context ends, is of kind NoQuorum.
 func (l *endpointList) await(ctx context.Context, number uint64, addresses []string, enough int) error {
 	receipts, cancel := l.receipts.subscribe()
 	defer cancel()
@@ -86,6 +108,7 @@
 	}
 }
 
+// holders returns how many of the instances at the addresses hold a change.
 func (l *endpointList) holders(number uint64, addresses []string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -11,6 +11,14 @@
 	"oxbowsaddle/internal/registry"
 )
 
+const (
+	// callMost is how long an order or a leave may wait for its confirmation:
+	// callers turn elsewhere after a second.
+	callMost = 800 * time.Millisecond
+	// leaderPoll is how often an order looks for a leader.
+	leaderPoll = 40 * time.Millisecond
+)
+
 // Put offers a document and waits until it is committed, or its version is
 // known not to be above the one in force. Where another instance leads, the
 // error is of kind NotCurrent and elsewhere is that one's address for
@@ -36,6 +44,7 @@
 	}
 }
 
+// putHere proposes the document where this instance leads, and waits.
 func (c *Control) putHere(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
 	committed := make(chan bool, 1)
 	callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
@@ -98,21 +107,21 @@
 // Heartbeat takes the heartbeat of an endpoint. That it is leaving is
 // acknowledged only once a majority of the voters knows.
 func (c *Control) Heartbeat(ctx context.Context, e registry.Endpoint) error {
-	number := c.registryUpdate(func(now time.Time, r *registry.Registry) uint64 {
-		n, _ := r.Hear(now, e, 0)
-		return n
-	})
+	number := c.endpoints.hear(e)
 	if !e.Leaving {
 		return nil
 	}
 	return c.awaitMajority(ctx, number)
 }
 
-// Leave takes the word of an endpoint that it ends, under the same condition.
+// Leave takes the message of an endpoint that it ends; it is acknowledged only
+// once a majority of the voters knows.
 func (c *Control) Leave(ctx context.Context, id string) error {
-	return c.awaitMajority(ctx, c.registryUpdate(func(now time.Time, r *registry.Registry) uint64 { return r.Leave(now, id) }))
+	return c.awaitMajority(ctx, c.endpoints.leave(id))
 }
 
+// awaitMajority waits until a majority of the voters, this instance counted if
+// it is one, holds a change of the registry.
 func (c *Control) awaitMajority(ctx context.Context, number uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
--- /dev/null
+++ b/internal/node/published.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"slices"
+	"sync"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/wire"
+)
+
+// documentsKept is how many versions are remembered to send only what
+// differs: an entry that is further behind is sent the whole.
+const documentsKept = 8
+
+// published is what entries are told of the document: the one in force, which
+// is the last of documents, before it some that entries may still hold, and
+// whether it is confirmed. It is not changed once made, but for the frames,
+// which are made when the first entry asks for them.
+type published struct {
+	documents []*document.Document
+	confirmed bool
+	frames    sync.Map // *wire.DocumentFrame by the version that an entry holds
+}
+
+// document returns the one in force, nil where there is none.
+func (p *published) document() *document.Document {
+	if len(p.documents) == 0 {
+		return nil
+	}
+	return p.documents[len(p.documents)-1]
+}
+
+// frame returns what an entry that holds a version is sent. It is made once
+// for all of them.
+func (p *published) frame(held uint64) *wire.DocumentFrame {
+	base := p.find(held)
+	if base == nil {
+		held = 0
+	}
+	if f, ok := p.frames.Load(held); ok {
+		return f.(*wire.DocumentFrame)
+	}
+	f, _ := p.frames.LoadOrStore(held, p.document().Frame(base, p.confirmed))
+	return f.(*wire.DocumentFrame)
+}
+
+// find returns a remembered version, nil where it is not.
+func (p *published) find(version uint64) *document.Document {
+	for _, d := range p.documents {
+		if d.Version() == version {
+			return d
+		}
+	}
+	return nil
+}
+
+// with returns what is told once a document is in force: the same where it is
+// not newer and nothing else changes.
+func (p *published) with(doc *document.Document, confirmed bool) *published {
+	last := p.document()
+	newer := doc != nil && (last == nil || doc.Version() > last.Version())
+	if !newer && confirmed == p.confirmed {
+		return p
+	}
+	next := &published{documents: p.documents, confirmed: confirmed}
+	if newer {
+		next.documents = append(slices.Clone(p.documents), doc)
+		next.documents = next.documents[max(0, len(next.documents)-documentsKept):]
+	}
+	return next
+}
