The entry's link in a file of its own, limits of watch in one block

Goroutines that receive are started as methods, which call back once the link fails, in place of closures round them. Behaviour is unchanged.

--- /dev/null
+++ b/internal/node/entrylink.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// entryLink is the link of an entry to one control instance.
+type entryLink struct {
+	watch   *watch
+	address string
+	stream  wire.DRPCDirectory_LinkClient
+	sending sync.Mutex
+}
+
+// serve says hello and takes what comes; loaded is called once the endpoints
+// have come.
+func (l *entryLink) serve(ctx context.Context, loaded func()) error {
+	if err := l.send(helloFrame(l.watch.entry.config.Name, false)); err != nil {
+		return err
+	}
+	l.watch.entry.reach(l)
+	for {
+		frame, err := l.stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := l.take(ctx, frame); err != nil {
+			return err
+		}
+		if frame.GetReports() != nil {
+			loaded()
+		}
+	}
+}
+
+// send sends one frame; several goroutines may call it.
+func (l *entryLink) send(frame *wire.Frame) error {
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	return l.stream.Send(frame)
+}
+
+// take does what one frame asks for.
+func (l *entryLink) take(ctx context.Context, frame *wire.Frame) error {
+	entry := l.watch.entry
+	switch body := frame.Body.(type) {
+	case *wire.Frame_Offer:
+		entry.takeOffer(l.address, body.Offer)
+	case *wire.Frame_Document:
+		entry.takeDocument(l.address, body.Document)
+	case *wire.Frame_Reports:
+		entry.takeReports(l.address, body.Reports)
+	case *wire.Frame_Roster:
+		l.watch.takeRoster(ctx, l.address, body.Roster)
+		entry.askDocument() // where the one that was asked has not answered
+		// Shows the control instance that somebody still listens.
+		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}})
+	}
+	return nil
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -122,10 +122,7 @@
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
 	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		defer cancel()
-		l.receiveLoop(stream)
-	}()
+	go l.receiveLoop(stream, cancel)
 	err = l.send(ctx, stream)
 	done()
 	l.control.endpoints.confirm(l.address, 0)
@@ -133,8 +130,9 @@
 	return err
 }
 
-// receiveLoop takes receipts until the link fails.
-func (l *peerLink) receiveLoop(stream wire.DRPCDirectory_LinkClient) {
+// receiveLoop takes receipts until the link fails, and then calls failed.
+func (l *peerLink) receiveLoop(stream wire.DRPCDirectory_LinkClient, failed func()) {
+	defer failed()
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
@@ -146,6 +144,8 @@
 	}
 }
 
+// send sends reports when they change and at least every frameEvery, and
+// between them messages of the log, until the link or the context ends.
 func (l *peerLink) send(ctx context.Context, stream wire.DRPCDirectory_LinkClient) error {
 	changed, unsubscribe := l.control.endpoints.changes.subscribe()
 	defer unsubscribe()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -12,13 +12,14 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// watchMost is how many control instances an entry watches at once. A change
-// that a majority of up to 13 holds reaches one of them.
-const watchMost = 7
-
-// turnMost is how long a link waits until another has loaded its first table:
-// some hundred endpoints over a link of 2 Mbit/s.
-const turnMost = 150 * time.Millisecond
+const (
+	// watchMost is how many control instances an entry watches at once. A
+	// change that a majority of up to 13 holds reaches one of them.
+	watchMost = 7
+	// turnMost is how long a link waits until another has loaded its first
+	// table: some hundred endpoints over a link of 2 Mbit/s.
+	turnMost = 150 * time.Millisecond
+)
 
 // watch keeps links from an entry to the control instances: whichever can be
 // reached tells what is in force, so that no single one can hold news back.
@@ -88,7 +89,8 @@
 	}
 }
 
-// run keeps the link to one address up until its context ends.
+// run keeps the link to one address up until ctx ends; all is the context of
+// every link, which ends later.
 func (w *watch) run(ctx, all context.Context, address string) {
 	var pace redial
 	for ctx.Err() == nil {
@@ -132,56 +134,3 @@
 	}
 	return func() {}
 }
-
-// entryLink is the link of an entry to one control instance.
-type entryLink struct {
-	watch   *watch
-	address string
-	stream  wire.DRPCDirectory_LinkClient
-	mu      sync.Mutex // of sends
-}
-
-// serve says hello and takes what comes; loaded is called once the endpoints
-// have come.
-func (l *entryLink) serve(ctx context.Context, loaded func()) error {
-	if err := l.send(helloFrame(l.watch.entry.config.Name, false)); err != nil {
-		return err
-	}
-	l.watch.entry.reach(l)
-	for {
-		frame, err := l.stream.Recv()
-		if err != nil {
-			return err
-		}
-		if err := l.take(ctx, frame); err != nil {
-			return err
-		}
-		if frame.GetReports() != nil {
-			loaded()
-		}
-	}
-}
-
-func (l *entryLink) send(frame *wire.Frame) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.stream.Send(frame)
-}
-
-func (l *entryLink) take(ctx context.Context, frame *wire.Frame) error {
-	entry := l.watch.entry
-	switch body := frame.Body.(type) {
-	case *wire.Frame_Offer:
-		entry.takeOffer(l.address, body.Offer)
-	case *wire.Frame_Document:
-		entry.takeDocument(l.address, body.Document)
-	case *wire.Frame_Reports:
-		entry.takeReports(l.address, body.Reports)
-	case *wire.Frame_Roster:
-		l.watch.takeRoster(ctx, l.address, body.Roster)
-		entry.askDocument() // where the one that was asked has not answered
-		// Shows the control instance that somebody still listens.
-		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}})
-	}
-	return nil
-}
