The entry and the links in files by job

packets.go has what the entry does with packets, learn.go what it takes from control instances; the pace of attempts, the server of links and the notifier leave link.go. The loop of packets is called packetLoop, and a connection is served by a method. Behaviour is unchanged.

--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -10,9 +10,10 @@
 
 // packetCounts counts packets by why they were treated as they were.
 type packetCounts struct {
-	byReason [16]atomic.Uint64
+	byReason [16]atomic.Uint64 // by steer.Reason, of which there are fewer
 }
 
+// add counts the packet that a decision is about.
 func (c *packetCounts) add(d steer.Decision) { c.byReason[d.Reason].Add(1) }
 
 // WriteMetrics writes the entry's counters and gauges, a line each.
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -18,12 +18,13 @@
 // under way are never asked for.
 type fetch struct {
 	offers  map[string]uint64 // version by control instance
-	asked   string
+	asked   string            // the control instance that has not answered yet, "" for none
 	askedAt time.Time
 }
 
 func newFetch() *fetch { return &fetch{offers: map[string]uint64{}} }
 
+// offer notes which version a control instance has in force.
 func (f *fetch) offer(source string, version uint64) { f.offers[source] = version }
 
 // lost notes that a control instance is out of reach.
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -16,7 +16,8 @@
 	hintsEvery = 250 * time.Millisecond
 )
 
-// loadHints reads what was known before the restart; a damaged file is none.
+// loadHints reads what was known before the restart, and fills the list of
+// endpoints with it; a damaged file is none.
 func (c *Control) loadHints(files storage.Files) *wire.Hints {
 	hints := &wire.Hints{}
 	if _, err := storage.LoadMessage(files, hintsName, hints); err != nil {
@@ -60,6 +61,7 @@
 	}
 }
 
+// saveHints replaces the file and returns once it lasts.
 func (c *Control) saveHints(hints *wire.Hints) error {
 	files, err := storage.Folder(c.config.Data)
 	if err != nil {
--- /dev/null
+++ b/internal/node/learn.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"time"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/wire"
+)
+
+// unconfirmedAfter is how long an entry that knows nothing waits for a
+// document that is confirmed before it takes one that is not: a control
+// instance that was away for long may be reached first, and another one
+// moments later. After a loss of power everywhere none is confirmed until
+// a leader is elected, and callers are served meanwhile.
+const unconfirmedAfter = 25 * time.Millisecond
+
+// reach notes that a control instance can be asked.
+func (e *Entry) reach(l *entryLink) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.links[l.address] = l
+}
+
+// takeOffer notes which version a control instance has in force, and asks for
+// it where it is newer than the one held.
+func (e *Entry) takeOffer(source string, offer *wire.DocumentOffer) {
+	e.mu.Lock()
+	e.fetch.offer(source, offer.Version)
+	held := e.held
+	e.mu.Unlock()
+	if offer.Confirmed && held != nil && held.Version() >= offer.Version {
+		e.putInForce(held, true)
+		e.confirm(held.Version())
+	}
+	e.askDocument()
+}
+
+// askDocument asks for the newest document that is on offer, if any is newer
+// than what is held.
+func (e *Entry) askDocument() {
+	now := e.config.Now()
+	e.mu.Lock()
+	held := uint64(0)
+	if e.held != nil {
+		held = e.held.Version()
+	}
+	link := e.links[e.fetch.next(now, held)]
+	e.mu.Unlock()
+	if link == nil {
+		return
+	}
+	// A link that fails is noticed where it is read; another one is asked then.
+	_ = link.send(&wire.Frame{Body: &wire.Frame_Want{Want: &wire.DocumentWant{Held: held}}})
+}
+
+// takeDocument takes a committed document from a control instance.
+func (e *Entry) takeDocument(source string, frame *wire.DocumentFrame) {
+	e.mu.Lock()
+	e.fetch.arrived(source)
+	doc, err := document.FromFrame(e.held, frame)
+	if err == nil && (e.held == nil || doc.Version() > e.held.Version()) {
+		e.held = doc
+	}
+	e.mu.Unlock()
+	switch {
+	case err != nil:
+		e.config.Log.Error("document refused", "control", source, "error", err)
+	case !frame.Confirmed && !e.confirmed.Load():
+		time.AfterFunc(unconfirmedAfter, func() { e.putInForce(doc, false) })
+	default:
+		e.putInForce(doc, frame.Confirmed)
+	}
+	if err == nil && frame.Confirmed {
+		e.confirm(doc.Version())
+	}
+	e.askDocument()
+}
+
+// confirm notes that a document is known to be the newest of its term.
+func (e *Entry) confirm(version uint64) {
+	if !e.confirmed.Swap(true) {
+		e.config.Log.Info("ready", "version", version)
+	}
+}
+
+// putInForce has new flows placed by a document, unless a newer one is in
+// force already.
+func (e *Entry) putInForce(doc *document.Document, confirmed bool) {
+	e.mu.Lock()
+	fresh := e.steerer.SetDocument(doc)
+	e.mu.Unlock()
+	if fresh {
+		e.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", confirmed)
+	}
+}
+
+// takeReports takes what a control instance reports of endpoints.
+func (e *Entry) takeReports(source string, reports *wire.Reports) {
+	now := e.config.Now()
+	e.mu.Lock()
+	e.steerer.Learn(now, source, reports)
+	e.mu.Unlock()
+}
+
+// forget drops what a control instance said, since it is out of reach, and
+// asks another one for the document.
+func (e *Entry) forget(source string) {
+	e.mu.Lock()
+	e.steerer.Forget(source)
+	e.fetch.lost(source)
+	delete(e.links, source)
+	e.mu.Unlock()
+	e.askDocument()
+}
--- /dev/null
+++ b/internal/node/linkserver.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// linkServer accepts links.
+type linkServer struct {
+	listener net.Listener
+	server   *drpcserver.Server
+}
+
+// newLinkServer listens at an address; an error is of kind AddressInUse where
+// that cannot be had.
+func newLinkServer(address string, handler wire.DRPCDirectoryServer) (*linkServer, error) {
+	config := net.ListenConfig{Control: limitUnacked}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.AddressInUse, err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterDirectory(mux, handler); err != nil {
+		return nil, fault.Wrap(fault.Internal, err)
+	}
+	return &linkServer{listener: listener, server: drpcserver.New(mux)}, nil
+}
+
+// run serves links until the context ends.
+func (s *linkServer) run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
+	defer stop()
+	for {
+		raw, err := s.listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			time.Sleep(redialAfter) // out of descriptors: those in use end
+			continue
+		}
+		go s.runOne(ctx, linkConn{raw})
+	}
+}
+
+// runOne serves one connection until it ends; why it ended is logged at the
+// end that opened it.
+func (s *linkServer) runOne(ctx context.Context, conn linkConn) {
+	_ = s.server.ServeOne(ctx, conn)
+}
--- /dev/null
+++ b/internal/node/packets.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/steer"
+)
+
+const (
+	// packetMost is the largest datagram that is read.
+	packetMost = 2048
+	// flowLinesPerSecond and flowLinesAtOnce bound the log lines about flows:
+	// a line costs some 10 µs, so at most 0.1% of a core.
+	flowLinesPerSecond = 100
+	flowLinesAtOnce    = 300
+)
+
+// Codec reads and writes packets as the fabric carries them.
+type Codec struct {
+	// Decode reads a caller's packet; false where it is none.
+	Decode func(raw []byte) (steer.Packet, bool)
+	// Forward appends the datagram for an endpoint.
+	Forward func(buf, raw []byte, number uint64, tag uint32) []byte
+	// Reset appends a reset to the caller of a packet.
+	Reset func(buf []byte, p steer.Packet, seq uint32) []byte
+}
+
+// packetLoop carries packets until the context ends.
+func (e *Entry) packetLoop(ctx context.Context, conn *net.UDPConn) error {
+	raw, out := make([]byte, packetMost), make([]byte, 0, packetMost)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(raw)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			continue // an earlier send found a closed port
+		}
+		e.carry(conn, raw[:n], out)
+	}
+}
+
+// carry decides about one packet and does it.
+func (e *Entry) carry(conn *net.UDPConn, raw, out []byte) {
+	p, ok := e.config.Codec.Decode(raw)
+	if !ok {
+		e.counts.add(steer.Decision{Reason: steer.Malformed})
+		return
+	}
+	now := e.config.Now()
+	e.mu.Lock()
+	d := e.steerer.Decide(now, p)
+	e.mu.Unlock()
+	e.counts.add(d)
+	switch d.Action {
+	case steer.Forward:
+		// A datagram that cannot be sent is lost, as on any link; its sender repeats it.
+		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Forward(out, raw, d.Number, d.Tag), d.To)
+	case steer.Reset:
+		caller := netip.AddrPortFrom(p.Src.Addr(), e.config.Packets.Port())
+		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(out, p, d.Seq), caller)
+	}
+	e.logDecision(now, p, d)
+}
+
+// logDecision writes a line for each flow that is opened or is not just
+// steered: what complaints ask for. Lines beyond the rate are left out, and
+// the next one says how many.
+func (e *Entry) logDecision(now time.Time, p steer.Packet, d steer.Decision) {
+	if d.Reason == steer.Steered || d.Reason == steer.Corrected {
+		return
+	}
+	if !e.flowLines.AllowN(now, 1) {
+		e.leftOut++
+		return
+	}
+	e.config.Log.Info("flow", "caller", p.Src, "route", p.Dst, "seq", p.Seq, "copy", p.Copy, "tag", p.Tag,
+		"action", d.Action, "reason", d.Reason, "endpoint", d.ID, "version", d.Version, "left_out", e.leftOut)
+	e.leftOut = 0
+}
