--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,10 +10,7 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"oxbowsaddle/internal/document"
-	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/replica"
 	"oxbowsaddle/internal/storage"
 	"oxbowsaddle/internal/wire"
@@ -73,7 +70,6 @@
 		proposals map[uint64]uint64 // term by index
 		peers     map[string]*peer
 		replaced  map[string]bool // ids whose address another id has now
-		began     time.Time
 		ledSince  time.Time
 	}
 )
@@ -81,7 +77,7 @@
 // New returns an instance with what its disk held.
 func New(c Config, now time.Time, loaded *storage.Loaded) (*Directory, error) {
 	d := &Directory{
-		config: c, proposals: map[uint64]uint64{}, peers: map[string]*peer{}, replaced: map[string]bool{}, began: now,
+		config: c, proposals: map[uint64]uint64{}, peers: map[string]*peer{}, replaced: map[string]bool{},
 	}
 	if loaded.Snapshot != nil {
 		if err := d.restore(loaded.Snapshot); err != nil {
@@ -102,31 +98,6 @@
 	return d, nil
 }
 
-func (d *Directory) restore(s *wire.SnapshotFile) error {
-	d.applied = s.Index
-	if len(s.State) == 0 {
-		return nil
-	}
-	return d.take(s.State)
-}
-
-// take puts an encoded document in force if its version is the highest.
-func (d *Directory) take(command []byte) error {
-	m := &wire.Document{}
-	if err := proto.Unmarshal(command, m); err != nil {
-		return fault.Wrap(fault.DamagedLog, err)
-	}
-	if d.document != nil && m.Version <= d.document.Version() {
-		return nil
-	}
-	doc, err := document.FromMessage(m)
-	if err != nil {
-		return fault.Wrap(fault.DamagedLog, err)
-	}
-	d.document = doc
-	return nil
-}
-
 // Step takes a message of another control instance; one to an earlier holder
 // of the address is dropped.
 func (d *Directory) Step(now time.Time, m *wire.LogMessage) {
@@ -149,39 +120,6 @@
 	d.changeVoters(now)
 }
 
-// Put offers a document. It is done at once where its version is not above
-// the one in force; else index tells which proposal to wait for.
-func (d *Directory) Put(now time.Time, doc *document.Document) (index uint64, done bool, err error) {
-	if !d.replica.Current(now) {
-		return 0, false, fault.New(fault.NotCurrent, "%s does not lead", d.config.Self)
-	}
-	if d.document != nil && doc.Version() <= d.document.Version() {
-		return 0, true, nil
-	}
-	command, err := proto.Marshal(doc.Message())
-	if err != nil {
-		return 0, false, fault.Wrap(fault.Internal, err)
-	}
-	if index, err = d.replica.Propose(now, command); err != nil {
-		return 0, false, err
-	}
-	d.proposals[index] = d.replica.Term()
-	return index, false, nil
-}
-
-// Read returns the document in force, if this instance can show that there is
-// no newer one; nil is that there was none yet.
-func (d *Directory) Read(now time.Time) (*document.Document, error) {
-	if !d.replica.Current(now) || d.applied < d.replica.Commit() {
-		return nil, fault.New(fault.NotCurrent, "%s cannot show that it holds the newest", d.config.Self)
-	}
-	return d.document, nil
-}
-
-// Document returns the document in force as far as this instance knows, nil
-// where there is none.
-func (d *Directory) Document() *document.Document { return d.document }
-
 // Leader returns who leads, as far as this instance knows, or "".
 func (d *Directory) Leader() string { return d.replica.Leader() }
 
@@ -220,38 +158,3 @@
 	}
 	return ready, nil
 }
-
-func (d *Directory) apply(e *wire.LogEntry, ready *Ready) error {
-	if len(e.Command) > 0 {
-		if err := d.take(e.Command); err != nil {
-			return err
-		}
-	}
-	d.applied = e.Index
-	if term, ok := d.proposals[e.Index]; ok {
-		delete(d.proposals, e.Index)
-		if term == e.Term {
-			ready.Done = append(ready.Done, e.Index)
-		} else {
-			ready.Lost = append(ready.Lost, e.Index)
-		}
-	}
-	return nil
-}
-
-// Compact returns what a snapshot at the applied index holds, with the log
-// that goes on after it; a nil file is that nothing was applied yet.
-func (d *Directory) Compact() (*wire.SnapshotFile, *wire.HardState, []*wire.LogEntry, error) {
-	if d.applied == 0 {
-		return nil, nil, nil, nil
-	}
-	var state []byte
-	if d.document != nil {
-		var err error
-		if state, err = proto.Marshal(d.document.Message()); err != nil {
-			return nil, nil, nil, fault.Wrap(fault.Internal, err)
-		}
-	}
-	file, hard, after := d.replica.Compact(d.applied, state)
-	return file, hard, after, nil
-}
--- /dev/null
+++ b/internal/directory/voters.go
@@ -0,0 +1,144 @@
+package directory
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// aliveFor is how recently an instance must have been heard of to become
+	// a voter: five rosters.
+	aliveFor = time.Second
+	// deadAfter is how long a voter must have been silent before another
+	// instance takes its place: well above a restart, well below the time in
+	// which a lost instance must be replaced.
+	deadAfter = 2 * time.Second
+)
+
+// learners returns the instances that are alive and do not vote.
+func (d *Directory) learners(now time.Time) []string {
+	var ids []string
+	for id, p := range d.peers {
+		if now.Sub(p.heard) < aliveFor && !slices.Contains(d.replica.Voters(), id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// dead reports whether a voter is lost: its disk is, or it has been silent
+// for long while this instance led.
+func (d *Directory) dead(now time.Time, id string) bool {
+	if id == d.config.Self {
+		return false
+	}
+	if d.replaced[id] {
+		return true
+	}
+	heard := d.ledSince
+	if p := d.peers[id]; p != nil && p.heard.After(heard) {
+		heard = p.heard
+	}
+	return now.Sub(heard) > deadAfter
+}
+
+// changeVoters proposes the next change of the voters, if one is wanted. A
+// dead voter goes first, and only then another one comes: the other order
+// would raise the majority by one, and the newcomer's loss, which is still the
+// same loss, would leave too few. A voter that is only silent may come back
+// with its disk, so it goes only when a newcomer can take its place at once.
+// One change at a time: the log refuses the next while one is not committed.
+func (d *Directory) changeVoters(now time.Time) {
+	voters := d.replica.Voters()
+	var dead, live []string
+	for _, id := range voters {
+		if d.dead(now, id) {
+			dead = append(dead, id)
+		} else {
+			live = append(live, id)
+		}
+	}
+	// Those whose disk is lost for certain go first.
+	slices.SortStableFunc(dead, func(a, b string) int { return d.removalOrder(a) - d.removalOrder(b) })
+	newcomer := d.newcomer(now, live)
+	switch {
+	case len(dead) > 0 && (d.replaced[dead[0]] || newcomer != "" || len(voters) > d.config.Voters):
+		d.propose(now, without(voters, dead[0]))
+	case len(voters) > d.config.Voters:
+		d.propose(now, without(voters, d.crowded(live)))
+	case len(voters) < d.config.Voters && newcomer != "":
+		d.propose(now, append(slices.Clone(voters), newcomer))
+	}
+}
+
+// removalOrder sorts dead voters: 0 for one whose disk is lost for certain, 1
+// for one that has only been silent.
+func (d *Directory) removalOrder(id string) int {
+	if d.replaced[id] {
+		return 0
+	}
+	return 1
+}
+
+// propose proposes other voters to the replicated log.
+func (d *Directory) propose(now time.Time, voters []string) {
+	// A refusal means that the last change is still under way; the next tick
+	// asks again.
+	_, _ = d.replica.ProposeVoters(now, voters)
+}
+
+// newcomer returns the learner that holds the committed log and whose failure
+// domain has the fewest voters, or "".
+func (d *Directory) newcomer(now time.Time, live []string) string {
+	best, fewest := "", 0
+	for _, id := range d.learners(now) {
+		if match := d.replica.Match(id); match == 0 || match < d.replica.Commit() {
+			continue
+		}
+		if n := d.inDomain(live, d.domain(id)); best == "" || n < fewest {
+			best, fewest = id, n
+		}
+	}
+	return best
+}
+
+// crowded returns the voter, other than this instance, whose failure domain
+// has the most voters.
+func (d *Directory) crowded(live []string) string {
+	best, most := "", -1
+	for _, id := range live {
+		if n := d.inDomain(live, d.domain(id)); id != d.config.Self && n > most {
+			best, most = id, n
+		}
+	}
+	return best
+}
+
+// inDomain counts the instances of a failure domain.
+func (d *Directory) inDomain(ids []string, domain string) int {
+	n := 0
+	for _, id := range ids {
+		if d.domain(id) == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// domain returns the failure domain of an instance, "" where it was not heard
+// of.
+func (d *Directory) domain(id string) string {
+	if id == d.config.Self {
+		return d.config.Domain
+	}
+	if p := d.peers[id]; p != nil {
+		return p.instance.Domain
+	}
+	return ""
+}
+
+// without returns a copy of the ids that lacks one.
+func without(ids []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(other string) bool { return other == id })
+}
