--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -43,13 +43,10 @@
 func (w *LineWriter) LeftOut() uint64 { return w.leftOut.Load() }
 
 // Run writes lines until the context ends, then what is still queued, as far
-// as the reader takes it within a moment.
+// as the reader takes it within flushMost.
 func (w *LineWriter) Run(ctx context.Context) {
 	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		w.run(ctx)
-	}()
+	go w.loop(ctx, done)
 	<-ctx.Done()
 	select {
 	case <-done:
@@ -57,7 +54,10 @@
 	}
 }
 
-func (w *LineWriter) run(ctx context.Context) {
+// loop writes lines until the context ends, then what is still queued, and
+// closes done.
+func (w *LineWriter) loop(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
 	for {
 		select {
 		case line := <-w.lines:
