--- /dev/null
+++ b/internal/cmd/platform_process.go
@@ -0,0 +1,108 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"oxbowsaddle/internal/telemetry"
+	"oxbowsaddle/platform"
+)
+
+const (
+	// settingsPoll is how often the settings file is looked at for a change
+	// that no signal tells of.
+	settingsPoll = time.Second
+	// memoryShare is the part of the memory limit that the runtime may use; the
+	// rest is for what it does not count.
+	memoryShare = 0.7
+)
+
+// platformProcess is what the two roles have in common.
+type platformProcess struct {
+	settings platform.Settings
+	path     string
+	log      *log.Logger
+}
+
+// startLog returns a logger whose lines never wait for their reader, and what
+// writes the last of them.
+func startLog(ctx context.Context, out io.Writer, name string) (*log.Logger, func(), error) {
+	lines := telemetry.NewLineWriter(out)
+	logger, err := telemetry.NewLogger(lines, "info", name)
+	if err != nil {
+		return nil, nil, err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var writing sync.WaitGroup
+	writing.Go(func() { lines.Run(running) })
+	return logger, func() {
+		stop()
+		writing.Wait()
+	}, nil
+}
+
+// limitMemory has garbage collected early enough to stay under a limit in
+// bytes; 0 is none.
+func limitMemory(limit int64) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(limit)))
+	}
+}
+
+// settingsLoop reads the file again at SIGHUP and when its content changes.
+func (p platformProcess) settingsLoop(ctx context.Context, take func(seeds []netip.AddrPort)) error {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP)
+	defer signal.Stop(hangUp)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	last, _ := os.ReadFile(p.path) // a change is seen at the next look
+	for {
+		cause := "file changed"
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hangUp:
+			cause = "SIGHUP"
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(p.path)
+		if err != nil || bytes.Equal(data, last) && cause != "SIGHUP" {
+			continue
+		}
+		last = data
+		p.reload(data, cause, take)
+	}
+}
+
+// reload takes the seeds of changed settings; what cannot be read changes
+// nothing.
+func (p platformProcess) reload(data []byte, cause string, take func(seeds []netip.AddrPort)) {
+	settings, err := platform.Parse(data)
+	if err != nil {
+		p.log.Error("reload refused", "cause", cause, "error", err)
+		return
+	}
+	p.log.Info("reload", "cause", cause, "seeds", settings.Seeds)
+	take(settings.Seeds)
+}
+
+// ended drops the error that a planned stop ends with.
+func ended(err error) error {
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
