--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -34,14 +34,15 @@
 	silent    bool // by every control instance that knows it
 	shadowed  bool // another one has the same tag and comes first
 
-	flows        int // open through this entry
+	flows        int // remembered by this entry
 	busy         int // requests of theirs that wait for the first byte of the answer
 	strikes      int // flows in a row that were not answered
 	suspectFor   time.Duration
 	suspectUntil time.Time
 }
 
-// answered takes the evidence that the endpoint answers.
+// answered takes the evidence that the endpoint answers; it reports whether
+// the endpoint was under suspicion for flows that it had not answered.
 func (b *backend) answered() bool {
 	was := b.strikes >= strikesToSuspect
 	b.strikes, b.suspectFor, b.suspectUntil = 0, 0, time.Time{}
@@ -83,3 +84,8 @@
 	}
 	return load
 }
+
+// forward returns the decision that sends a packet to the endpoint.
+func (b *backend) forward(reason Reason) Decision {
+	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
+}
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -5,6 +5,32 @@
 	"time"
 )
 
+const (
+	// answerWithin is how long an opened flow may stay without a further
+	// packet of its caller before that counts against the endpoint: several
+	// round trips, and less than the 200 ms after which callers repeat.
+	answerWithin = 80 * time.Millisecond
+	// defaultIdle is how long a flow is remembered where no document says.
+	defaultIdle = 15 * time.Second
+)
+
+// flow is what an entry remembers of a flow for balance and for copies of
+// its opening packet; steering needs no record.
+type flow struct {
+	key     flowKey
+	backend *backend
+	first   uint32 // seq of the opening packet
+	opened  time.Time
+	seen    time.Time
+	open    bool          // the caller went on
+	moved   bool          // copies went to two endpoints
+	busy    bool          // a request waits for its answer
+	asked   uint32        // seq after the last request
+	acked   uint32        // ack of the last packet
+	resting *list.Element // of Steerer.resting
+	opening *list.Element // of Steerer.opening, nil once the flow is answered or counted
+}
+
 // remember begins the record of a flow that was placed.
 func (s *Steerer) remember(now time.Time, p Packet, b *backend) {
 	if len(s.flows) >= s.config.MaxFlows {
@@ -19,10 +45,9 @@
 
 // move notes that a copy went to another endpoint.
 func (s *Steerer) move(now time.Time, f *flow, b *backend) {
-	f.backend.flows--
-	f.backend, f.moved, f.opened = b, true, now
-	b.flows++
-	s.answered(f)
+	f.bind(b)
+	f.moved, f.opened = true, now
+	s.stopWaiting(f)
 	f.opening = s.opening.PushBack(f)
 }
 
@@ -39,37 +64,51 @@
 		return
 	}
 	if f.busy && int32(p.Ack-f.acked) > 0 {
-		s.setBusy(f, false)
+		f.setBusy(false)
 	}
 	f.acked = p.Ack
 	if end := p.Seq + uint32(p.Len); p.Len > 0 && int32(end-f.asked) > 0 {
 		f.asked = end
-		s.setBusy(f, true)
+		f.setBusy(true)
+	}
+}
+
+// bind counts the flow for another endpoint.
+func (f *flow) bind(b *backend) {
+	f.backend.flows--
+	f.backend = b
+	b.flows++
+}
+
+// suspected tells whoever listens that an endpoint is avoided from now on, or
+// no longer.
+func (s *Steerer) suspected(b *backend, suspect bool) {
+	if s.config.Suspected != nil {
+		s.config.Suspected(b.ID, suspect)
 	}
 }
 
 // settle binds the flow to the endpoint whose answer the caller took.
 func (s *Steerer) settle(f *flow, b *backend) {
-	if f.backend != b {
-		f.backend.flows--
-		f.backend = b
-		b.flows++
-	}
+	f.bind(b)
 	f.open = true
-	s.answered(f)
-	if b.answered() && s.config.Suspected != nil {
-		s.config.Suspected(b.ID, false)
+	s.stopWaiting(f)
+	if b.answered() {
+		s.suspected(b, false)
 	}
 }
 
-func (s *Steerer) answered(f *flow) {
+// stopWaiting takes a flow off the list of those that wait for their first
+// answer.
+func (s *Steerer) stopWaiting(f *flow) {
 	if f.opening != nil {
 		s.opening.Remove(f.opening)
 		f.opening = nil
 	}
 }
 
-func (s *Steerer) setBusy(f *flow, busy bool) {
+// setBusy notes whether a request of the flow waits for its answer.
+func (f *flow) setBusy(busy bool) {
 	switch {
 	case busy && !f.busy:
 		f.backend.busy++
@@ -84,26 +123,41 @@
 	if f == nil {
 		return
 	}
-	s.setBusy(f, false)
-	s.answered(f)
+	f.setBusy(false)
+	s.stopWaiting(f)
 	s.resting.Remove(f.resting)
 	f.backend.flows--
 	delete(s.flows, f.key)
 }
 
-// sweep counts unanswered flows against their endpoints and forgets flows
-// that rested too long.
+// sweep counts unanswered flows against their endpoints, forgets flows that
+// rested too long, and now and then endpoints that ended long ago.
 func (s *Steerer) sweep(now time.Time) {
+	s.countUnanswered(now)
+	s.forgetResting(now)
+	if !now.Before(s.dropAt) {
+		s.dropAt = now.Add(dropGoneEvery)
+		s.dropGone(now)
+	}
+}
+
+// countUnanswered counts flows that got no answer in time against their
+// endpoints.
+func (s *Steerer) countUnanswered(now time.Time) {
 	for e := s.opening.Front(); e != nil; e = s.opening.Front() {
 		f := e.Value.(*flow)
 		if now.Sub(f.opened) < answerWithin {
 			break
 		}
-		s.answered(f)
-		if f.backend.struck(now) && s.config.Suspected != nil {
-			s.config.Suspected(f.backend.ID, true)
+		s.stopWaiting(f)
+		if f.backend.struck(now) {
+			s.suspected(f.backend, true)
 		}
 	}
+}
+
+// forgetResting forgets flows that rested for longer than the document allows.
+func (s *Steerer) forgetResting(now time.Time) {
 	idle := defaultIdle
 	if s.document != nil && s.document.Idle() > 0 {
 		idle = s.document.Idle()
@@ -113,8 +167,4 @@
 		next = e.Next()
 		s.end(e.Value.(*flow))
 	}
-	if !now.Before(s.dropAt) {
-		s.dropAt = now.Add(dropGoneEvery)
-		s.dropGone(now)
-	}
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// answerWithin is how long an opened flow may stay without a further
-	// packet of its caller before that counts against the endpoint: several
-	// round trips, and less than the 200 ms after which callers repeat.
-	answerWithin = 80 * time.Millisecond
 	// sweepEvery is how often unanswered and resting flows are looked for.
 	sweepEvery = 20 * time.Millisecond
 	// dropGoneEvery is how often ended incarnations are looked for.
@@ -23,8 +19,6 @@
 	// lastCopy is the repetition of an opening packet that goes elsewhere
 	// even though nothing else speaks against the first endpoint.
 	lastCopy = 2
-	// defaultIdle is how long a flow is remembered where no document says.
-	defaultIdle = 15 * time.Second
 )
 
 type (
@@ -38,40 +32,23 @@
 		Suspected func(id string, suspect bool)
 	}
 
-	// flow is what an entry remembers of a flow for balance and for copies of
-	// its opening packet; steering needs no record.
-	flow struct {
-		key     flowKey
-		backend *backend
-		first   uint32 // seq of the opening packet
-		opened  time.Time
-		seen    time.Time
-		open    bool // the caller went on
-		moved   bool // copies went to two endpoints
-		busy    bool // a request waits for its answer
-		asked   uint32
-		acked   uint32
-		resting *list.Element
-		opening *list.Element
-	}
-
 	// Steerer decides for one entry.
 	Steerer struct {
 		config   Config
 		document *document.Document
 		routes   map[netip.AddrPort]*route
-		dropped  map[netip.AddrPort]bool
+		dropped  map[netip.AddrPort]bool // routes that were in force once
 		byID     map[string]*backend
 		byTag    map[uint32]*backend
-		pools    map[string][]*backend
+		pools    map[string][]*backend      // by service
 		silentBy map[string]map[string]bool // by control instance, then endpoint
-		whole    bool
+		whole    bool                       // a control instance has reported every endpoint
 
 		flows   map[flowKey]*flow
 		resting *list.List // flows, the longest at rest first
 		opening *list.List // flows not answered yet, the oldest first
-		sweepAt time.Time
-		dropAt  time.Time
+		sweepAt time.Time  // of the next sweep
+		dropAt  time.Time  // of the next dropGone
 	}
 )
 
@@ -122,7 +99,7 @@
 		s.end(f)
 		return Decision{Action: Reset, Reason: EndpointGone, Seq: p.Ack, ID: b.ID}
 	}
-	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
+	return b.forward(reason)
 }
 
 // openFlow places a new flow, or sends a copy after its first packet.
@@ -162,10 +139,6 @@
 	return b.forward(Placed)
 }
 
-func (b *backend) forward(reason Reason) Decision {
-	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
-}
-
 // abandon reports whether a copy goes to another endpoint: there is evidence
 // that the first one is silent, or it is the last copy.
 func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
@@ -197,15 +170,3 @@
 	}
 	return best
 }
-
-// service returns the service of a route that a draw falls on.
-func (r *route) service(draw uint64) string {
-	at := draw % r.weight
-	for _, share := range r.Shares {
-		if at < uint64(share.Weight) {
-			return share.Service
-		}
-		at -= uint64(share.Weight)
-	}
-	return r.Shares[len(r.Shares)-1].Service
-}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oxbowsaddle/internal/document"
@@ -10,10 +11,10 @@
 )
 
 type (
-	// route is a route of the document with the endpoints of its services.
+	// route is a route of the document with the sum of its weights.
 	route struct {
 		document.Route
-		weight uint64 // sum over the shares
+		weights uint64 // sum over the shares
 	}
 
 	// Counts tells what a Steerer holds.
@@ -31,11 +32,11 @@
 	}
 	routes := make(map[netip.AddrPort]*route, len(d.Routes()))
 	for _, r := range d.Routes() {
-		entry := &route{Route: r}
+		summed := &route{Route: r}
 		for _, share := range r.Shares {
-			entry.weight += uint64(share.Weight)
+			summed.weights += uint64(share.Weight)
 		}
-		routes[r.Addr] = entry
+		routes[r.Addr] = summed
 		delete(s.dropped, r.Addr)
 	}
 	for addr := range s.routes {
@@ -55,7 +56,7 @@
 	return s.document.Version()
 }
 
-// Learn takes what control instance source reports of endpoints.
+// Learn takes what a control instance, source, reports of endpoints.
 func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) {
 	heard := s.silentBy[source]
 	if heard == nil {
@@ -76,6 +77,8 @@
 	s.refresh()
 }
 
+// learn takes what is reported of one endpoint. A report that it has ended
+// stands; otherwise the highest sequence does.
 func (s *Steerer) learn(now time.Time, e registry.Endpoint) {
 	b := s.byID[e.ID]
 	switch {
@@ -147,18 +150,20 @@
 		for _, heard := range s.silentBy {
 			delete(heard, id)
 		}
-		s.pools[b.Service] = without(s.pools[b.Service], b)
+		s.pools[b.Service] = slices.DeleteFunc(s.pools[b.Service], func(other *backend) bool { return other == b })
 	}
 }
 
-func without(pool []*backend, b *backend) []*backend {
-	kept := make([]*backend, 0, len(pool))
-	for _, other := range pool {
-		if other != b {
-			kept = append(kept, other)
+// service returns the service of a route that a draw falls on.
+func (r *route) service(draw uint64) string {
+	at := draw % r.weights
+	for _, share := range r.Shares {
+		if at < uint64(share.Weight) {
+			return share.Service
 		}
+		at -= uint64(share.Weight)
 	}
-	return kept
+	return r.Shares[len(r.Shares)-1].Service
 }
 
 // Counts returns what the Steerer holds.
