--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -216,10 +216,10 @@
 	if s.broken != nil {
 		return s.broken
 	}
-	if err := s.replaceFile(nextSnapshot, snapshotName, snapshot); err != nil {
+	if err := replaceFile(s.files, nextSnapshot, snapshotName, snapshot); err != nil {
 		return s.fail("write snapshot", err)
 	}
-	if err := s.replaceFile(nextLogName, logName, &wire.Record{Hard: hard, Entries: after, Cuts: true, CutAfter: snapshot.Index}); err != nil {
+	if err := replaceFile(s.files, nextLogName, logName, &wire.Record{Hard: hard, Entries: after, Cuts: true, CutAfter: snapshot.Index}); err != nil {
 		return s.fail("begin log", err)
 	}
 	old := s.log
@@ -232,10 +232,8 @@
 	return old.Close()
 }
 
-func (s *Store) replaceFile(next, name string, m proto.Message) error {
-	return replaceFile(s.files, next, name, m)
-}
-
+// replaceFile writes a message to the file next, which then takes the place of
+// name, and returns once that lasts.
 func replaceFile(files Files, next, name string, m proto.Message) error {
 	data, err := encodeRecord(m)
 	if err != nil {
@@ -253,7 +251,7 @@
 }
 
 // SaveMessage replaces a file of the folder by one checksummed message, and
-// returns once it lasts.
+// returns once it lasts; an error is of kind DataFolder.
 func SaveMessage(files Files, name string, m proto.Message) error {
 	if err := replaceFile(files, name+".next", name, m); err != nil {
 		return diskFault("write "+name, err)
@@ -261,7 +259,8 @@
 	return nil
 }
 
-// LoadMessage reads what SaveMessage wrote; false is that there is no file.
+// LoadMessage reads what SaveMessage wrote; false is that there is no file. An
+// error is of kind DataFolder, or DamagedLog where the file cannot be decoded.
 func LoadMessage(files Files, name string, m proto.Message) (bool, error) {
 	data, err := files.Read(name)
 	if errors.Is(err, os.ErrNotExist) {
