--- a/internal/document/delta.go
+++ b/internal/document/delta.go
@@ -36,6 +36,7 @@
 	return f
 }
 
+// byAddr returns the routes by their address.
 func (d *Document) byAddr() map[netip.AddrPort]Route {
 	routes := make(map[netip.AddrPort]Route, len(d.Routes()))
 	for _, r := range d.Routes() {
@@ -45,7 +46,8 @@
 }
 
 // FromFrame returns the document of a frame; held is what the entry has, nil
-// for none. A frame against another base is refused.
+// for none. A frame against another base is refused with an error of kind
+// Conflict.
 func FromFrame(held *Document, f *wire.DocumentFrame) (*Document, error) {
 	if f.Base == 0 {
 		return FromMessage(f.Document)
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -79,6 +79,7 @@
 // Source returns the document as the operator sent it.
 func (d *Document) Source() []byte { return d.config.Source }
 
+// check returns every fault of a configuration with its place.
 func check(c Config) []string {
 	var faults []string
 	services := map[string]bool{}
@@ -105,6 +106,7 @@
 	return faults
 }
 
+// checkRoute returns what is wrong with a route by itself.
 func checkRoute(r Route, services map[string]bool) []string {
 	var faults []string
 	if !r.Addr.IsValid() || r.Addr.Port() == 0 {
@@ -131,6 +133,7 @@
 // not change it.
 func (d *Document) Message() *wire.Document { return d.message }
 
+// message returns a configuration as it travels and is stored.
 func message(c Config) *wire.Document {
 	m := &wire.Document{Version: c.Version, IdleNanos: int64(c.Idle), Source: c.Source}
 	for _, s := range c.Services {
@@ -150,7 +153,8 @@
 }
 
 // FromMessage returns the document that a message holds; one that does not
-// pass the check is refused, wherever it came from.
+// pass the check is refused with an error of kind InvalidChange, wherever it
+// came from.
 func FromMessage(m *wire.Document) (*Document, error) {
 	c := Config{Version: m.Version, Idle: time.Duration(m.IdleNanos), Source: m.Source}
 	for _, s := range m.Services {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -56,6 +56,7 @@
 		changed uint64 // of the last change that entries must know
 	}
 
+	// record is what is known of one incarnation.
 	record struct {
 		endpoint Endpoint
 		heard    time.Time
@@ -124,6 +125,7 @@
 	return ended
 }
 
+// end marks an incarnation as gone.
 func (r *Registry) end(now time.Time, held *record) {
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
@@ -193,6 +195,7 @@
 	return r.reports(now, func(held *record) bool { return held.changed > after || held.beaten > after })
 }
 
+// reports returns the wanted records, by id.
 func (r *Registry) reports(now time.Time, wanted func(*record) bool) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
 	for _, held := range r.records {
@@ -204,6 +207,7 @@
 	return out
 }
 
+// message returns a record as it travels; its times count from now.
 func message(now time.Time, held *record) *wire.EndpointReport {
 	e, age := held.endpoint, now.Sub(held.heard)
 	return &wire.EndpointReport{
