--- a/tools/main.go
+++ b/tools/main.go
@@ -1,5 +1,5 @@
-// The tools of development: the commands of oxbowsaddle and, beside them, the
-// load tool, the slopes and the manual pages. They draw plots and pages, whose
+// Command tools has the commands of oxbowsaddle and, beside them, those of
+// development: load, slopes and manual pages. They draw plots and pages, whose
 // libraries cost each start of a process a quarter of its time; the binary
 // that serves does without them.
 package main
