--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -369,7 +369,7 @@
 	}
 }
 
-// benchmarkSteerer knows 120 endpoints, as the grown deployments have.
+// benchmarkSteerer knows 120 endpoints, as large deployments have.
 func benchmarkSteerer() *Steerer {
 	s := New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 10_000})
 	s.SetDocument(testDocument(1, routeTo(bookingAddr, "booking")))
