--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -74,7 +74,8 @@
 	}
 )
 
-// New returns an instance with what its disk held.
+// New returns an instance with what its disk held; an error is of kind
+// DamagedLog where that cannot be decoded.
 func New(c Config, now time.Time, loaded *storage.Loaded) (*Directory, error) {
 	d := &Directory{
 		config: c, proposals: map[uint64]uint64{}, peers: map[string]*peer{}, replaced: map[string]bool{},
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -38,7 +38,8 @@
 }
 
 // Put offers a document. It is done at once where its version is not above
-// the one in force; else index tells which proposal to wait for.
+// the one in force; else index tells which proposal to wait for. An error
+// where this instance does not lead is of kind NotCurrent.
 func (d *Directory) Put(now time.Time, doc *document.Document) (index uint64, done bool, err error) {
 	if !d.replica.Current(now) {
 		return 0, false, fault.New(fault.NotCurrent, "%s does not lead", d.config.Self)
@@ -58,7 +59,7 @@
 }
 
 // Read returns the document in force, if this instance can show that there is
-// no newer one; nil is that there was none yet.
+// no newer one; nil is that there was none yet. An error is of kind NotCurrent.
 func (d *Directory) Read(now time.Time) (*document.Document, error) {
 	if !d.replica.Current(now) || d.applied < d.replica.Commit() {
 		return nil, fault.New(fault.NotCurrent, "%s cannot show that it holds the newest", d.config.Self)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -67,7 +67,8 @@
 	return control
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends; an error at once is of kind AddressInUse
+// where the peer address cannot be had.
 func (c *Control) Run(ctx context.Context) error {
 	links, err := newLinkServer(c.config.Peer.String(), &linkHandler{control: c})
 	if err != nil {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -75,7 +75,8 @@
 	return e
 }
 
-// Run serves until the context ends.
+// Run serves until the context ends; an error at once is of kind AddressInUse
+// where the address for packets cannot be had.
 func (e *Entry) Run(ctx context.Context) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.config.Packets))
 	if err != nil {
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -22,7 +22,9 @@
 // Put offers a document and waits until it is committed, or its version is
 // known not to be above the one in force. Where another instance leads, the
 // error is of kind NotCurrent and elsewhere is that one's address for
-// operators.
+// operators. Where nobody is known to lead, or too few answer within callMost,
+// elsewhere is empty and the kind NotCurrent or NoQuorum; while the disk fails
+// it is DataFolder.
 func (c *Control) Put(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
@@ -105,7 +107,8 @@
 }
 
 // Heartbeat takes the heartbeat of an endpoint. That it is leaving is
-// acknowledged only once a majority of the voters knows.
+// acknowledged only once a majority of the voters knows; the error where they
+// do not within callMost is of kind NoQuorum.
 func (c *Control) Heartbeat(ctx context.Context, e registry.Endpoint) error {
 	number := c.endpoints.hear(e)
 	if !e.Leaving {
@@ -115,7 +118,7 @@
 }
 
 // Leave takes the message of an endpoint that it ends; it is acknowledged only
-// once a majority of the voters knows.
+// once a majority of the voters knows; errors are as for Heartbeat.
 func (c *Control) Leave(ctx context.Context, id string) error {
 	return c.awaitMajority(ctx, c.endpoints.leave(id))
 }
