--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,6 +57,7 @@
 		number  uint64                     // of the last heartbeat or change
 	}
 
+	// record is what is known of one incarnation.
 	record struct {
 		endpoint Endpoint
 		heard    time.Time
@@ -157,6 +158,7 @@
 	return e
 }
 
+// end marks an incarnation as gone.
 func (r *Registry) end(now time.Time, held *record) {
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
@@ -252,6 +254,7 @@
 	return out
 }
 
+// message returns a record as it travels; its times count from now.
 func message(now time.Time, held *record) *wire.EndpointReport {
 	e, age := held.endpoint, now.Sub(held.heard)
 	return &wire.EndpointReport{
