A waiting request is counted for the endpoint that its flow is bound to

Found by the reading of the steering code, and reproduced there: a flow placed on one endpoint, whose caller took another one that this entry did not know yet, left the first one busy for good and the second one below zero.

The test fails on the code before.

--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -73,11 +73,14 @@
 	}
 }
 
-// bind counts the flow for another endpoint.
+// bind counts the flow, and the request that it waits for, for another endpoint.
 func (f *flow) bind(b *backend) {
+	busy := f.busy
+	f.setBusy(false)
 	f.backend.flows--
 	f.backend = b
 	b.flows++
+	f.setBusy(busy)
 }
 
 // suspected tells whoever listens that an endpoint is avoided from now on, or
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -113,6 +113,19 @@
 		Expect(g.Tag).To(Equal(d.Tag))
 	})
 
+	It("carries a waiting request along when the flow turns out to be on another endpoint", func() {
+		s.Learn(start, "c1", reports(report("booking", 2, func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 2, true })))
+		Expect(s.Decide(start, opening(1000, 7, 0)).ID).To(Equal("booking-1"))
+		tag := Tag("booking-5") // another entry knows it, this one not yet
+		Expect(s.Decide(start, later(1000, tag, 8, 1, 10)).Reason).To(Equal(UnknownTag))
+		s.Learn(start, "c1", reports(report("booking", 5, nil)))
+		Expect(s.Decide(start, later(1000, tag, 8, 1, 10)).Reason).To(Equal(Steered))
+		Expect(s.byID["booking-1"].busy).To(BeZero())
+		Expect(s.byID["booking-5"].busy).To(Equal(1))
+		s.Decide(start, later(1000, tag, 18, 99, 0))
+		Expect(s.byID["booking-5"].busy).To(BeZero())
+	})
+
 	It("takes the same tuple with another sequence number for a new flow", func() {
 		s.Decide(start, opening(1000, 7, 0))
 		Expect(s.Decide(start, opening(1000, 8, 0)).Reason).To(Equal(Placed))
