Changes of endpoints gather for 20 ms before entries are told; late receipts; settings that cannot be read are logged

Cause: when a fleet starts, each first heartbeat was a frame of its own to each entry. By reading: a receipt could be noted after its link had ended, and would have counted a peer as holding what it no longer does; a settings file that cannot be read was passed over without a line.

--- a/internal/cmd/platform_process.go
+++ b/internal/cmd/platform_process.go
@@ -68,7 +68,10 @@
 	defer signal.Stop(hangUp)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
-	last, _ := os.ReadFile(p.path) // a change is seen at the next look
+	last, err := os.ReadFile(p.path)
+	if err != nil {
+		p.log.Error("settings cannot be read", "file", p.path, "error", err)
+	}
 	for {
 		cause := "file changed"
 		select {
@@ -79,7 +82,11 @@
 		case <-ticker.C:
 		}
 		data, err := os.ReadFile(p.path)
-		if err != nil || bytes.Equal(data, last) && cause != "SIGHUP" {
+		if err != nil {
+			p.log.Error("settings cannot be read", "file", p.path, "cause", cause, "error", err)
+			continue
+		}
+		if bytes.Equal(data, last) && cause != "SIGHUP" {
 			continue
 		}
 		last = data
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -10,7 +10,7 @@
 
 // packetCounts counts packets by why they were treated as they were.
 type packetCounts struct {
-	byReason [16]atomic.Uint64 // by steer.Reason, of which there are fewer
+	byReason [steer.ReasonCount]atomic.Uint64
 }
 
 // add counts the packet that a decision is about.
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -7,6 +7,11 @@
 	"oxbowsaddle/internal/wire"
 )
 
+// feedGap is how long a feed lets changes of endpoints gather before it tells
+// them: far below the time that an entry has for any of them, and one frame
+// instead of many when a fleet starts.
+const feedGap = 20 * time.Millisecond
+
 // entryFeed sends one entry what it lacks.
 type entryFeed struct {
 	control *Control
@@ -54,6 +59,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+			time.Sleep(feedGap)
 		case <-documents:
 		case held := <-f.wants:
 			err = f.sendDocument(held)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -122,9 +122,14 @@
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
 	ctx, cancel := context.WithCancel(ctx)
-	go l.receiveLoop(stream, cancel)
+	received := make(chan struct{})
+	go l.receiveLoop(stream, func() {
+		cancel()
+		close(received)
+	})
 	err = l.send(ctx, stream)
 	done()
+	<-received // so that no late receipt is noted after this
 	l.control.endpoints.confirm(l.address, 0)
 	log.Warn("peer lost", "peer", l.address, "error", err)
 	return err
--- a/internal/steer/decision.go
+++ b/internal/steer/decision.go
@@ -23,7 +23,9 @@
 	UnknownTag                 // no endpoint is known by the tag
 	EndpointGone               // the flow's endpoint has ended
 	Malformed                  // the packet cannot be read, or no caller sends such
-	reasonCount
+
+	// ReasonCount is how many there are.
+	ReasonCount
 )
 
 type (
@@ -49,7 +51,7 @@
 
 var (
 	actionNames = [...]string{"drop", "forward", "reset"}
-	reasonNames = [reasonCount]string{
+	reasonNames = [ReasonCount]string{
 		"placed", "repeated", "replaced", "steered", "corrected", "no_table", "no_route", "route_dropped",
 		"no_endpoint", "unknown_tag", "endpoint_gone", "malformed",
 	}
@@ -63,7 +65,7 @@
 
 // Reasons returns the closed list.
 func Reasons() []Reason {
-	all := make([]Reason, reasonCount)
+	all := make([]Reason, ReasonCount)
 	for i := range all {
 		all[i] = Reason(i)
 	}
