Control instances tell a heartbeat once and briefly; an entry is told only what it lacks

Two reasons, from the code and the figures: each control instance told on every heartbeat that it had learned from another one, with the whole record of some 110 bytes; and an entry that started or dialled again was sent the whole list by each control instance, 330 KB three times. Ruled out: rosters (some 0.2 MB/s there), documents (fetched once already).

Change: whoever hears a heartbeat itself tells the others, changes are still told on; a heartbeat of an endpoint of which nothing else changed travels as id, sequence and age. An entry's hello carries a digest, a sum for each of 64 parts of the endpoints by id; the control instance leaves out the parts on which both agree, but for what is silent. One that ended counts by that alone, so that a stale control instance can still not revive it.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -46,7 +46,7 @@
 
 // hear takes a heartbeat and returns the number of the change.
 func (l *endpointList) hear(e registry.Endpoint) (number uint64) {
-	l.update(func(now time.Time, r *registry.Registry) { number, _ = r.Hear(now, e, 0) })
+	l.update(func(now time.Time, r *registry.Registry) { number, _ = r.Hear(now, e) })
 	return number
 }
 
@@ -75,6 +75,13 @@
 	return l.registry.Changes(l.now(), number)
 }
 
+// lacking returns what an entry lacks whose digest is given.
+func (l *endpointList) lacking(known registry.Digest) *wire.Reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Lacking(l.now(), known)
+}
+
 // beatsAfter returns what the other control instances must know of the
 // heartbeats and changes after a number.
 func (l *endpointList) beatsAfter(number uint64) *wire.Reports {
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -21,7 +21,7 @@
 	})
 	change := func() (number uint64) {
 		list.update(func(now time.Time, r *registry.Registry) {
-			number, _ = r.Hear(now, registry.Endpoint{ID: "i-1", Sequence: 1, Leaving: true}, 0)
+			number, _ = r.Hear(now, registry.Endpoint{ID: "i-1", Sequence: 1, Leaving: true})
 		})
 		return number
 	}
@@ -67,7 +67,7 @@
 		change()
 		Expect(changed).To(Receive())
 		list.update(func(now time.Time, r *registry.Registry) {
-			r.Hear(now, registry.Endpoint{ID: "i-1", Sequence: 2, Leaving: true}, 0)
+			r.Hear(now, registry.Endpoint{ID: "i-1", Sequence: 2, Leaving: true})
 		})
 		Expect(changed).NotTo(Receive())
 	})
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -18,10 +18,12 @@
 // serve says hello and takes what comes; loaded is called once the endpoints
 // have come.
 func (l *entryLink) serve(ctx context.Context, loaded func()) error {
-	if err := l.send(helloFrame(l.watch.entry.config.Name, false)); err != nil {
+	entry := l.watch.entry
+	digest := entry.digest()
+	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Digest: digest[:]})); err != nil {
 		return err
 	}
-	l.watch.entry.reach(l)
+	entry.reach(l)
 	for {
 		frame, err := l.stream.Recv()
 		if err != nil {
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -16,9 +17,10 @@
 type entryFeed struct {
 	control *Control
 	stream  wire.DRPCDirectory_LinkStream
-	wants   chan uint64 // the version that the entry holds, when it asks
-	sent    uint64      // number of the last reports
-	offered *published  // what the last offer told of
+	known   registry.Digest // what the entry knew when the link began
+	wants   chan uint64     // the version that the entry holds, when it asks
+	sent    uint64          // number of the last reports, 0 before the first
+	offered *published      // what the last offer told of
 }
 
 // receiveLoop takes what the entry asks for until the link fails, and then
@@ -81,7 +83,7 @@
 		}
 		f.offered = p
 	}
-	reports := f.control.endpoints.changesAfter(f.sent)
+	reports := f.reports()
 	if len(reports.Endpoints) == 0 && f.sent > 0 {
 		return nil
 	}
@@ -89,6 +91,14 @@
 	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Reports{Reports: reports}})
 }
 
+// reports returns what the entry lacks, and later what has changed.
+func (f *entryFeed) reports() *wire.Reports {
+	if f.sent == 0 {
+		return f.control.endpoints.lacking(f.known)
+	}
+	return f.control.endpoints.changesAfter(f.sent)
+}
+
 // sendDocument sends what is in force, as what differs from the version that
 // the entry holds where that one is remembered.
 func (f *entryFeed) sendDocument(held uint64) error {
--- /dev/null
+++ b/internal/node/feed_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/registry"
+)
+
+var _ = ginkgo.Describe("what an entry is told of endpoints", func() {
+	endpoint := registry.Endpoint{ID: "i-1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Sequence: 1}
+	var control *Control
+	ginkgo.BeforeEach(func() {
+		control = NewControl(ControlConfig{Beat: time.Second, Log: log.New(io.Discard), Now: SteadyClock()})
+		control.endpoints.hear(endpoint)
+	})
+
+	ginkgo.It("is all at first, and then only changes", func() {
+		feed := &entryFeed{control: control}
+		Expect(feed.reports().Endpoints).To(HaveLen(1))
+		feed.sent = control.endpoints.changed()
+		Expect(feed.reports().Endpoints).To(BeEmpty())
+		control.endpoints.leave("i-1")
+		Expect(feed.reports().Endpoints).To(HaveLen(1))
+	})
+
+	ginkgo.It("leaves out what another control instance told it already", func() {
+		feed := &entryFeed{control: control}
+		feed.known.Add(endpoint)
+		Expect(feed.reports().Endpoints).To(BeEmpty())
+		control.endpoints.leave("i-1")
+		Expect(feed.reports().Endpoints).To(HaveLen(1))
+	})
+})
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -102,6 +103,13 @@
 	e.mu.Unlock()
 }
 
+// digest sums up what is known of endpoints.
+func (e *Entry) digest() registry.Digest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.steerer.Digest()
+}
+
 // forget drops what a control instance said, since it is out of reach, and
 // asks another one for the document.
 func (e *Entry) forget(source string) {
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -74,8 +74,7 @@
 	return stream, done, nil
 }
 
-// helloFrame is the first frame of a link; control tells a control instance
-// from an entry.
-func helloFrame(id string, control bool) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Hello{Hello: &wire.Hello{Id: id, Control: control}}}
+// helloFrame is the first frame of a link.
+func helloFrame(hello *wire.Hello) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Hello{Hello: hello}}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if err := stream.Send(helloFrame(l.control.Status().Self, true)); err != nil {
+	if err := stream.Send(helloFrame(&wire.Hello{Id: l.control.Status().Self, Control: true})); err != nil {
 		done()
 		return err
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 	if hello.Control {
 		return h.servePeer(stream)
 	}
-	return h.serveEntry(stream)
+	return h.serveEntry(stream, registry.DigestOf(hello.Digest))
 }
 
 // servePeer takes what another control instance sends.
@@ -49,11 +50,11 @@
 	}
 }
 
-// serveEntry sends an entry all that is known, then what changes.
-func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream) error {
+// serveEntry sends an entry what it lacks, then what changes.
+func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream, known registry.Digest) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	feed := &entryFeed{control: h.control, stream: stream, wants: make(chan uint64, 1)}
+	feed := &entryFeed{control: h.control, stream: stream, known: known, wants: make(chan uint64, 1)}
 	go feed.receiveLoop(ctx, cancel)
 	return feed.run(ctx)
 }
--- /dev/null
+++ b/internal/registry/digest.go
@@ -0,0 +1,74 @@
+package registry
+
+import (
+	"github.com/dchest/siphash"
+)
+
+// digestParts is into how many parts endpoints are divided by their ids: one
+// that differs costs that part of the list.
+const digestParts = 64
+
+// The keys of the digest's hash; they are part of the protocol between entries
+// and control instances.
+const (
+	digestKey0 = 0x6f78626f77736164
+	digestKey1 = 0x646c652073756d73
+)
+
+// Digest sums up what is known of endpoints, without what each heartbeat
+// changes: a sum for each part of them. The order of additions does not matter,
+// and adding an endpoint twice takes it out again.
+type Digest [digestParts]uint64
+
+// Add adds an endpoint, or takes it out. One that was only heard of as ended
+// does not count.
+func (d *Digest) Add(e Endpoint) { d[part(e.ID)] ^= sum(e) }
+
+// same returns a bit for each part in which two digests agree.
+func (d *Digest) same(other *Digest) uint64 {
+	var bits uint64
+	for i := range d {
+		if d[i] == other[i] {
+			bits |= 1 << i
+		}
+	}
+	return bits
+}
+
+// DigestOf reads a digest as it travels; what is missing is 0.
+func DigestOf(sums []uint64) Digest {
+	var d Digest
+	copy(d[:], sums)
+	return d
+}
+
+// InParts reports whether an endpoint is in one of the parts of which bits has
+// a bit.
+func InParts(bits uint64, id string) bool { return bits>>part(id)&1 == 1 }
+
+// part returns the part that an endpoint belongs to.
+func part(id string) int {
+	return int(siphash.Hash(digestKey0, digestKey1, []byte(id)) % digestParts)
+}
+
+// sum returns what an endpoint adds to its part. Of one that has ended only
+// that counts.
+func sum(e Endpoint) uint64 {
+	if !e.Addr.IsValid() {
+		return 0
+	}
+	const roomFor = 128
+	b := make([]byte, 0, roomFor)
+	b = append(b, e.ID...)
+	if e.Gone {
+		return siphash.Hash(digestKey0, digestKey1, append(b, 0, 'g'))
+	}
+	b = append(append(b, 0), e.Service...)
+	b = append(append(b, 0), e.Domain...)
+	b = e.Addr.AppendTo(append(b, 0))
+	b = append(b, 0, byte(e.Slots>>8), byte(e.Slots))
+	if e.Leaving {
+		b = append(b, 'l')
+	}
+	return siphash.Hash(digestKey0, digestKey1, b)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -55,6 +55,7 @@
 		changes *list.List                 // records, the one that changed last at the back
 		beats   *list.List                 // records, the one that was heard last at the back
 		number  uint64                     // of the last heartbeat or change
+		digest  Digest                     // of all records
 	}
 
 	// record is what is known of one incarnation.
@@ -62,8 +63,9 @@
 		endpoint Endpoint
 		heard    time.Time
 		silent   bool
-		changed  uint64 // number of the last change that entries must know
-		beaten   uint64 // number of the last heartbeat that peers must know
+		counted  Endpoint // as the registry's digest has it
+		changed  uint64   // number of the last change that entries must know
+		beaten   uint64   // number of the last heartbeat or change that peers must know
 		inChanges,
 		inBeats *list.Element
 	}
@@ -77,9 +79,19 @@
 	}
 }
 
-// Hear takes a heartbeat that came age ago, and returns the number of the
+// Hear takes a heartbeat of an endpoint itself and returns the number of the
 // change. It reports false where the heartbeat is older than what is known.
-func (r *Registry) Hear(now time.Time, e Endpoint, age time.Duration) (uint64, bool) {
+func (r *Registry) Hear(now time.Time, e Endpoint) (uint64, bool) {
+	number, taken := r.hear(now, e, 0)
+	if taken {
+		r.beat(r.records[e.ID])
+	}
+	return number, taken
+}
+
+// hear takes what an endpoint said age ago, to whomever. Peers are told of it
+// only if it changes what is known: whoever heard a heartbeat itself tells all.
+func (r *Registry) hear(now time.Time, e Endpoint, age time.Duration) (uint64, bool) {
 	held := r.records[e.ID]
 	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
 		return max(held.changed, held.beaten), false
@@ -99,8 +111,8 @@
 		held.heard = heard
 	}
 	r.settle(held)
-	r.beat(held)
 	if changed {
+		r.beat(held)
 		r.change(now, held)
 	}
 	return r.number, true
@@ -171,6 +183,9 @@
 func (r *Registry) change(now time.Time, held *record) {
 	held.changed = r.number
 	held.inChanges = toBack(r.changes, held.inChanges, held)
+	r.digest.Add(held.counted)
+	held.counted = held.endpoint
+	r.digest.Add(held.counted)
 	if r.config.Changed != nil {
 		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
 	}
@@ -178,11 +193,18 @@
 
 // Leave marks an incarnation as gone and returns the number of the change.
 func (r *Registry) Leave(now time.Time, id string) uint64 {
-	held := r.records[id]
+	return r.leave(now, Endpoint{ID: id})
+}
+
+// leave marks an incarnation as gone; e is what is known of it where this
+// registry knows nothing.
+func (r *Registry) leave(now time.Time, e Endpoint) uint64 {
+	held := r.records[e.ID]
 	if held == nil {
+		e.Gone = false
 		r.number++
-		held = &record{endpoint: Endpoint{ID: id}, heard: now}
-		r.records[id] = held
+		held = &record{endpoint: e, heard: now}
+		r.records[e.ID] = held
 	}
 	if !held.endpoint.Gone {
 		held.heard = now
@@ -213,6 +235,7 @@
 	if r.living[held.endpoint.Addr] == held {
 		delete(r.living, held.endpoint.Addr)
 	}
+	r.digest.Add(held.counted)
 	r.changes.Remove(held.inChanges)
 	r.beats.Remove(held.inBeats)
 }
@@ -244,12 +267,32 @@
 	return out
 }
 
-// Beats returns the records that were heard of after a number, for a peer, as
-// Changes does.
+// Lacking returns the records that an entry lacks which knows what its digest
+// says: the parts on which both differ, and of the others what is silent.
+func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
+	out := &wire.Reports{Number: r.number, Whole: r.Whole(now), Same: r.digest.same(&known)}
+	for e := r.changes.Back(); e != nil; e = e.Prev() {
+		if held := e.Value.(*record); held.silent || !InParts(out.Same, held.endpoint.ID) {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+	}
+	return out
+}
+
+// Beats returns what was heard of after a number, for a peer that was told all
+// up to that number: the records that changed, and of the others only that they
+// were heard. Its work grows with their number, not with that of all.
 func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
 	for e := r.beats.Back(); e != nil && e.Value.(*record).beaten > after; e = e.Prev() {
-		out.Endpoints = append(out.Endpoints, message(now, e.Value.(*record)))
+		held := e.Value.(*record)
+		if held.changed > after {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+			continue
+		}
+		out.Beats = append(out.Beats, &wire.Beat{
+			Id: held.endpoint.ID, Sequence: held.endpoint.Sequence, AgeNanos: int64(now.Sub(held.heard)),
+		})
 	}
 	return out
 }
@@ -279,11 +322,27 @@
 	for _, m := range reports.Endpoints {
 		e := FromMessage(m)
 		if e.Gone {
-			r.Leave(now, e.ID)
+			r.leave(now, e)
 			continue
 		}
 		age := time.Duration(m.AgeNanos)
 		e.Warm += age
-		r.Hear(now, e, age)
+		r.hear(now, e, age)
+	}
+	for _, b := range reports.Beats {
+		r.mergeBeat(now, b)
+	}
+}
+
+// mergeBeat takes the heartbeat of an endpoint that is known; of another one
+// the peer tells more when it tells all, on its next link.
+func (r *Registry) mergeBeat(now time.Time, b *wire.Beat) {
+	held := r.records[b.Id]
+	if held == nil {
+		return
 	}
+	e, age := held.endpoint, time.Duration(b.AgeNanos)
+	e.Sequence = b.Sequence
+	e.Warm = max(0, e.Warm-now.Add(-age).Sub(held.heard))
+	r.hear(now, e, age)
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -276,6 +277,29 @@
 		Expect(s.byID["booking-1"].silent).To(BeFalse())
 	})
 
+	It("counts a control instance that knows the same as one that hears the endpoints", func() {
+		silent := func(m *wire.EndpointReport) { m.Silent = true }
+		s.Learn(start, "c2", reports(report("booking", 1, silent)))
+		s.Learn(start, "c3", &wire.Reports{Same: ^uint64(0), Endpoints: []*wire.EndpointReport{report("booking", 2, silent)}})
+		s.Forget("c1")
+		Expect(s.byID["booking-1"].silent).To(BeFalse(), "c3 hears it")
+		Expect(s.byID["booking-2"].silent).To(BeTrue(), "nobody but c3 knows it now")
+		s.Forget("c3")
+		Expect(s.byID["booking-1"].silent).To(BeTrue())
+	})
+
+	It("has the digest of the control instance that told it all, also of what has ended", func() {
+		r := registry.New(registry.Config{Beat: time.Second}, start)
+		all := reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil))
+		r.Merge(start, all)
+		told := func() []*wire.EndpointReport { return r.Lacking(start, s.Digest()).Endpoints }
+		Expect(told()).To(BeEmpty())
+		r.Leave(start, "booking-1")
+		Expect(told()).NotTo(BeEmpty())
+		s.Learn(start, "c1", r.Changes(start, 0))
+		Expect(told()).To(BeEmpty())
+	})
+
 	It("keeps to its own failure domain until its endpoints are clearly busier", func() {
 		away := func(m *wire.EndpointReport) { m.Domain, m.Sequence = "almadies", 2 }
 		s.Learn(start, "c1", reports(report("booking", 2, away)))
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -63,18 +63,47 @@
 		heard = map[string]bool{}
 		s.silentBy[source] = heard
 	}
+	s.learnSame(heard, reports.Same)
 	for _, m := range reports.Endpoints {
-		heard[m.Id] = m.Silent
 		s.learn(now, registry.FromMessage(m))
+		if b := s.byID[m.Id]; b != nil {
+			heard[m.Id] = m.Silent
+			s.settleSilence(b)
+		}
 	}
 	s.whole = s.whole || reports.Whole
-	s.refresh()
+}
+
+// learnSame takes that a control instance knows just what the digest said of
+// some parts of the endpoints: it has heard from them.
+func (s *Steerer) learnSame(heard map[string]bool, parts uint64) {
+	if parts == 0 {
+		return
+	}
+	for id, b := range s.byID {
+		if registry.InParts(parts, id) {
+			heard[id] = false
+			s.settleSilence(b)
+		}
+	}
+}
+
+// Digest sums up what is known of endpoints, so that a control instance can
+// leave out what need not be told.
+func (s *Steerer) Digest() registry.Digest {
+	var d registry.Digest
+	for _, b := range s.byID {
+		d.Add(b.Endpoint)
+	}
+	return d
 }
 
 // Forget drops what a control instance said about silence: it is out of reach.
 func (s *Steerer) Forget(source string) {
 	delete(s.silentBy, source)
-	s.refresh()
+	for _, b := range s.byID {
+		s.settleSilence(b)
+	}
 }
 
 // learn takes what is reported of one endpoint. A report that it has ended
@@ -120,20 +149,18 @@
 	}
 }
 
-// refresh works out which endpoints are silent to all that know them.
-func (s *Steerer) refresh() {
-	for id, b := range s.byID {
-		known, silent := 0, 0
-		for _, heard := range s.silentBy {
-			if quiet, ok := heard[id]; ok {
-				known++
-				if quiet {
-					silent++
-				}
+// settleSilence works out whether an endpoint is silent to all that know it.
+func (s *Steerer) settleSilence(b *backend) {
+	known, silent := 0, 0
+	for _, heard := range s.silentBy {
+		if quiet, ok := heard[b.ID]; ok {
+			known++
+			if quiet {
+				silent++
 			}
 		}
-		b.silent = known > 0 && known == silent
 	}
+	b.silent = known > 0 && known == silent
 }
 
 // dropGone forgets incarnations that ended so long ago that no flow of theirs
