A voter whose disk refuses writes or stands still is replaced

Cause: a control instance whose disk failed went on sending its last list of control instances, so the others took it for alive and left it its vote; and its folder opened again every 0.25 s, since reading works on a full disk, only to fail at the next record. Ruled out: that the replicated log itself holds on to it; another one leads within a lease.

Change: a list of control instances vouches for its sender for a second after its loop made it; a folder that failed is opened again only after a probe was written and synced; what an instance believes counts as leading no longer than a lease after its loop said so. The data folder is a function of the configuration, so that tests can make it fail.

--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -11,6 +11,7 @@
 
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/node"
+	"oxbowsaddle/internal/storage"
 	"oxbowsaddle/platform"
 )
 
@@ -111,7 +112,8 @@
 	}
 	const perLoss = 2 // so many voters more for each lost instance, and one
 	control := node.NewControl(node.ControlConfig{
-		Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First, Data: s.Data,
+		Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First,
+		Files:  func() (storage.Files, error) { return storage.Folder(s.Data) },
 		Voters: perLoss*s.Losses + 1, Beat: s.Beat, Log: p.log, Now: node.SteadyClock(),
 	})
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -28,9 +28,10 @@
 		Front  string           // where operators and endpoints call
 		Seeds  []netip.AddrPort // peer addresses of other control instances
 		First  bool             // the whole system starts for the first time
-		Data   string           // data folder
-		Voters int              // wanted voters
-		Beat   time.Duration    // heartbeat period of endpoints
+		// Files opens the data folder.
+		Files  func() (storage.Files, error)
+		Voters int           // wanted voters
+		Beat   time.Duration // heartbeat period of endpoints
 		Log    *log.Logger
 		Now    func() time.Time
 	}
@@ -40,8 +41,8 @@
 		config    ControlConfig
 		calls     chan func(now time.Time)
 		published atomic.Pointer[published]
-		status    atomic.Pointer[directory.Status]
-		roster    atomic.Pointer[wire.Roster]
+		status    atomic.Pointer[madeStatus]
+		roster    atomic.Pointer[madeRoster]
 		documents notifier
 		endpoints *endpointList
 		peers     *peerLinks
@@ -50,6 +51,7 @@
 		directory *directory.Directory // nil while the disk fails
 		store     *storage.Store
 		waiting   map[uint64]chan bool // by proposal; true once committed
+		failed    bool                 // the disk failed and has not been opened since
 		reopenAt  time.Time
 	}
 )
@@ -60,9 +62,9 @@
 	control := &Control{
 		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), waiting: map[uint64]chan bool{},
 	}
-	control.status.Store(&directory.Status{})
+	control.status.Store(&madeStatus{})
 	control.published.Store(&published{})
-	control.roster.Store(&wire.Roster{})
+	control.roster.Store(&madeRoster{roster: &wire.Roster{}})
 	control.peers = newPeerLinks(control)
 	return control
 }
@@ -115,7 +117,7 @@
 		return
 	}
 	c.directory.Tick(now)
-	c.roster.Store(c.directory.Roster(now))
+	c.roster.Store(&madeRoster{c.directory.Roster(now), now})
 	c.peers.connect(ctx, c.directory.Addresses())
 }
 
@@ -154,8 +156,9 @@
 
 // publish tells entries and callers what is in force, and logs what changed.
 func (c *Control) publish() {
-	status, last := c.directory.Status(c.config.Now()), c.status.Load()
-	c.status.Store(&status)
+	now := c.config.Now()
+	status, last := c.directory.Status(now), c.status.Load().status
+	c.status.Store(&madeStatus{status, now})
 	if status.Role != last.Role || status.Leader != last.Leader || status.Term != last.Term {
 		c.config.Log.Info("log role", "id", status.Self, "role", status.Role, "leader", status.Leader, "term", status.Term, "commit", status.Commit)
 	}
@@ -227,5 +230,13 @@
 // SetSeeds takes other seeds, after the settings have changed.
 func (c *Control) SetSeeds(ctx context.Context, seeds []netip.AddrPort) { c.peers.setSeeds(ctx, seeds) }
 
-// Status returns what the instance believes.
-func (c *Control) Status() directory.Status { return *c.status.Load() }
+// Status returns what the instance believes. One whose loop has stood still
+// for longer than a lease leads no more, whatever it believed last.
+func (c *Control) Status() directory.Status {
+	made := c.status.Load()
+	s := made.status
+	if c.config.Now().Sub(made.at) > directory.Lease {
+		s.Current = false
+	}
+	return s
+}
--- a/internal/node/disk.go
+++ b/internal/node/disk.go
@@ -19,11 +19,17 @@
 // open reads the data folder; where that fails it is tried again later.
 func (c *Control) open(now time.Time) {
 	c.reopenAt = now.Add(reopenAfter)
-	files, err := storage.Folder(c.config.Data)
+	files, err := c.config.Files()
 	if err != nil {
 		c.config.Log.Error("data folder cannot be opened", "error", err)
 		return
 	}
+	if c.failed {
+		// Reading alone would not show that the disk takes writes again.
+		if err := storage.Probe(files); err != nil {
+			return
+		}
+	}
 	identity, err := loadIdentity(files, c.config)
 	if err != nil {
 		c.config.Log.Error("identity cannot be kept", "error", err)
@@ -42,7 +48,7 @@
 		c.config.Log.Error("log cannot be used", "error", err)
 		return
 	}
-	c.store, c.directory = store, d
+	c.store, c.directory, c.failed = store, d, false
 	c.config.Log.Info("log opened", "id", identity.Id, "founders", identity.Founders, "entries", len(loaded.Entries),
 		"term", loaded.Hard.Term, "torn", loaded.Torn)
 }
@@ -50,8 +56,8 @@
 // close gives the disk up until it can be opened again, as after a crash.
 func (c *Control) close(now time.Time) {
 	_ = c.store.Close() // it has failed already
-	c.store, c.directory, c.reopenAt = nil, nil, now.Add(reopenAfter)
-	c.status.Store(&directory.Status{})
+	c.store, c.directory, c.failed, c.reopenAt = nil, nil, true, now.Add(reopenAfter)
+	c.status.Store(&madeStatus{})
 	for index := range c.waiting {
 		c.answer(index, false)
 	}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -66,7 +66,7 @@
 		case held := <-f.wants:
 			err = f.sendDocument(held)
 		case <-ticker.C:
-			err = f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: f.control.roster.Load()}})
+			err = f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: f.control.roster.Load().roster}})
 		}
 		if err != nil {
 			return err
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -63,7 +63,7 @@
 
 // saveHints replaces the file and returns once it lasts.
 func (c *Control) saveHints(hints *wire.Hints) error {
-	files, err := storage.Folder(c.config.Data)
+	files, err := c.config.Files()
 	if err != nil {
 		return err
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -170,7 +170,7 @@
 }
 
 // sendLog sends messages of the log until reports are due; each tick sends a
-// roster too.
+// roster too, if it vouches for this instance.
 func (l *peerLink) sendLog(ctx context.Context, stream wire.DRPCDirectory_LinkClient, changed <-chan struct{}, tick <-chan time.Time) error {
 	for {
 		select {
@@ -183,7 +183,11 @@
 		case <-changed:
 			return nil
 		case <-tick:
-			return stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: l.control.roster.Load()}})
+			roster := l.control.roster.Load().vouched(l.control.config.Now())
+			if roster == nil {
+				return nil
+			}
+			return stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: roster}})
 		}
 	}
 }
--- /dev/null
+++ b/internal/storage/storagetest/failing.go
@@ -0,0 +1,93 @@
+package storagetest
+
+import (
+	"errors"
+	"sync"
+
+	"oxbowsaddle/internal/storage"
+)
+
+// ErrFull is returned by every write while the disk is full.
+var ErrFull = errors.New("no space left")
+
+// Failing is a data folder whose disk can be made full or made to stand still;
+// several goroutines may use it.
+type Failing struct {
+	open func() (storage.Files, error)
+
+	mu     sync.Mutex
+	full   bool
+	stands chan struct{} // closed once the disk goes on, nil while it does
+}
+
+// NewFailing returns a folder that does what the opened one does, until it is
+// told to fail.
+func NewFailing(open func() (storage.Files, error)) *Failing { return &Failing{open: open} }
+
+// SetFull makes the disk take no more bytes, or take them again.
+func (f *Failing) SetFull(full bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full = full
+}
+
+// Stall makes every write and sync wait until goOn is called.
+func (f *Failing) Stall() (goOn func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	stands := make(chan struct{})
+	f.stands = stands
+	return sync.OnceFunc(func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.stands = nil
+		close(stands)
+	})
+}
+
+// Files opens the folder.
+func (f *Failing) Files() (storage.Files, error) {
+	files, err := f.open()
+	if err != nil {
+		return files, err
+	}
+	appendTo, create := files.Append, files.Create
+	files.Append = func(name string) (*storage.File, error) { return f.file(appendTo(name)) }
+	files.Create = func(name string) (*storage.File, error) { return f.file(create(name)) }
+	return files, nil
+}
+
+// file makes an open file fail as the disk does.
+func (f *Failing) file(file *storage.File, err error) (*storage.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	write, sync := file.Write, file.Sync
+	file.Write = func(data []byte) (int, error) {
+		if err := f.wait(); err != nil {
+			return 0, err
+		}
+		return write(data)
+	}
+	file.Sync = func() error {
+		_ = f.wait() // a full disk still syncs what it has
+		return sync()
+	}
+	return file, nil
+}
+
+// wait waits while the disk stands still, and then says whether it is full.
+func (f *Failing) wait() error {
+	f.mu.Lock()
+	stands := f.stands
+	f.mu.Unlock()
+	if stands != nil {
+		<-stands
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return ErrFull
+	}
+	return nil
+}
