Operators ask the processes of the tag fabric: status, control list, why flow, stats

Change: control instances answer the product's own operators' calls on the address of their links, entries on the next port: versions in force at every linked entry (they say theirs with each answer to a roster), voters, what drains wait for, figures, and why a flow is where it is, with every endpoint of its route and what speaks for or against it. The core of the explanation is in internal/steer, without I/O; nothing is decided by any of it.

Links and operators' calls on this fabric have no TLS: listed as open.

--- a/internal/cmd/cmd.go
+++ b/internal/cmd/cmd.go
@@ -79,6 +79,7 @@
 	key         string
 	authority   string
 	output      string
+	wait        time.Duration // how much longer than callTimeout the call may take
 }
 
 func (t *target) flags(c *cobra.Command) {
@@ -98,7 +99,7 @@
 	if t.output != "text" && t.output != "json" {
 		return UsageError{fmt.Errorf("--output is text or json, not %q", t.output)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+t.wait)
 	defer cancel()
 	client, done, err := instance.Dial(ctx, addr, settings.TLS{Certificate: t.certificate, Key: t.key, Authority: t.authority})
 	if err != nil {
--- a/internal/cmd/cmd_history.go
+++ b/internal/cmd/cmd_history.go
@@ -52,6 +52,13 @@
 	return nil, fault.New(fault.NotFound, "revision %d is no accepted change that is remembered", number)
 }
 
+// difference is what a change altered in one object.
+type difference struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	What string `json:"what"`
+}
+
 // cmdDiff shows what a change altered.
 func cmdDiff() *cobra.Command {
 	return cmdAsk("diff REVISION", "show what an accepted change altered", 1, func(ctx context.Context, a asking) error {
@@ -59,12 +66,19 @@
 		if err != nil {
 			return err
 		}
+		var all []difference
 		for n, o := range h.Change.Objects {
 			what := "new"
 			if before := h.Before[n]; !before.Remove {
 				what = intent.Difference(before.Body, o.Body)
 			}
-			fmt.Fprintf(a.out, "%s %s: %s\n", o.Kind, o.Name, what)
+			all = append(all, difference{o.Kind, o.Name, what})
+		}
+		if a.json {
+			return PrintJSON(a.out, all)
+		}
+		for _, d := range all {
+			fmt.Fprintf(a.out, "%s %s: %s\n", d.Kind, d.Name, d.What)
 		}
 		return nil
 	})
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -15,12 +15,11 @@
 // cmdStatus shows what an instance holds and who lags.
 func cmdStatus() *cobra.Command {
 	var t target
-	var wait time.Duration
 	c := &cobra.Command{
 		Use: "status", Short: "show roles, revision, leases, what drains wait for, and who lags", Args: exactArgs(0),
 		RunE: func(c *cobra.Command, _ []string) error {
 			return t.call(c.Context(), func(ctx context.Context, client wire.DRPCControlClient) error {
-				s, err := waitInForce(ctx, client, wait, time.Now)
+				s, err := waitInForce(ctx, client, t.wait, time.Now)
 				if err != nil {
 					return err
 				}
@@ -33,7 +32,7 @@
 		},
 	}
 	t.flags(c)
-	c.Flags().DurationVar(&wait, "wait", 0, "wait so long for the last revision to be in force on every instance")
+	c.Flags().DurationVar(&t.wait, "wait", 0, "wait so long for the last revision to be in force on every instance")
 	return c
 }
 
@@ -82,10 +81,19 @@
 			time.Duration(m.SilentNanos).Round(time.Millisecond), m.Leased, m.Leaving)
 	}
 	for _, d := range s.Drains {
-		fmt.Fprintf(w, "  leaving %s/%s for %s: %d flows in %d buckets are waited for\n", d.Service, d.Endpoint,
-			time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
+		fmt.Fprintf(w, "  leaving %s/%s for %s: %s are waited for\n", d.Service, d.Endpoint,
+			time.Duration(d.SinceNanos).Round(time.Second), waitedFor(d))
 	}
 	for _, o := range s.Objects {
 		fmt.Fprintf(w, "  %s %s, revision %d by %s, change %s\n", o.Object.Kind, o.Object.Name, o.Revision, o.Author, o.ChangeId)
 	}
 }
+
+// waitedFor tells what a leaving endpoint still holds; only the fabric that
+// carries no tags has buckets.
+func waitedFor(d *wire.DrainStatus) string {
+	if d.Buckets == 0 {
+		return fmt.Sprintf("%d flows", d.Flows)
+	}
+	return fmt.Sprintf("%d flows in %d buckets", d.Flows, d.Buckets)
+}
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -26,6 +26,9 @@
 		if err != nil {
 			return err
 		}
+		if a.json {
+			return PrintJSON(a.out, templates)
+		}
 		for _, o := range templates {
 			var body intent.Template
 			if err := json.Unmarshal(o.Object.Body, &body); err != nil {
@@ -44,6 +47,9 @@
 			return err
 		}
 		for _, o := range templates {
+			if o.Object.Name == a.args[0] && a.json {
+				return PrintJSON(a.out, json.RawMessage(o.Object.Body))
+			}
 			if o.Object.Name == a.args[0] {
 				return printTemplate(a.out, o)
 			}
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -105,30 +106,41 @@
 		if err != nil {
 			return err
 		}
+		if a.json {
+			return PrintJSON(a.out, lagging{ByLeader: s.ByLeader, Revision: s.Commit, Members: laggingMembers(s)})
+		}
 		return printLag(a.out, s)
 	})
 }
 
+// lagging is the answer of `why lag` for a script.
+type lagging struct {
+	ByLeader bool                 `json:"by_leader"` // false: nothing is known of the members
+	Revision uint64               `json:"revision"`
+	Members  []*wire.MemberStatus `json:"members"`
+}
+
+// laggingMembers returns the members that hold no lease or lack something.
+func laggingMembers(s *wire.StatusReply) []*wire.MemberStatus {
+	return slices.DeleteFunc(slices.Clone(s.Members), func(m *wire.MemberStatus) bool { return m.Leased && m.Applied >= s.Commit })
+}
+
 // printLag names who lags and what each of them keeps from being in use.
 func printLag(w io.Writer, s *wire.StatusReply) error {
 	if !s.ByLeader {
 		return fault.New(fault.NotCurrent, "no leader can be asked from %s; it was last confirmed %s ago and serves by index %d", s.Name,
 			time.Duration(s.ConfirmedAgoNanos).Round(time.Millisecond), s.Applied)
 	}
-	lagging := 0
-	for _, m := range s.Members {
+	behind := laggingMembers(s)
+	for _, m := range behind {
 		silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
-		switch {
-		case !m.Leased:
+		if !m.Leased {
 			fmt.Fprintf(w, "%s in %s holds no lease, silent for %s; it decides nothing new. Look at its network and its log.\n", m.Name, m.Domain, silent)
-		case m.Applied < s.Commit:
-			fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, s.Commit, silent)
-		default:
 			continue
 		}
-		lagging++
+		fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, s.Commit, silent)
 	}
-	if lagging == 0 {
+	if len(behind) == 0 {
 		fmt.Fprintf(w, "nobody lags: all %d entries have applied %d, in use is %d\n", len(s.Members), s.Commit, s.Active)
 	}
 	return nil
@@ -142,6 +154,9 @@
 		}
 		for _, d := range s.Drains {
 			if d.Endpoint == a.args[0] {
+				if a.json {
+					return PrintJSON(a.out, d)
+				}
 				printDrain(a.out, d)
 				return nil
 			}
@@ -151,10 +166,10 @@
 }
 
 func printDrain(w io.Writer, d *wire.DrainStatus) {
-	if d.Buckets == 0 {
+	if d.Buckets == 0 && d.Flows == 0 {
 		fmt.Fprintf(w, "%s waits for nothing: it can be taken away\n", d.Endpoint)
 		return
 	}
-	fmt.Fprintf(w, "%s has been leaving for %s and gets no new work; up to %d flows in %d buckets still use it or are not counted yet\n"+
-		"next: wait, or lower drain_deadline of the team to cut them\n", d.Endpoint, time.Duration(d.SinceNanos).Round(time.Second), d.Flows, d.Buckets)
+	fmt.Fprintf(w, "%s has been leaving for %s and gets no new work; up to %s still use it or are not counted yet\n"+
+		"next: wait, or lower drain_deadline of the team to cut them\n", d.Endpoint, time.Duration(d.SinceNanos).Round(time.Second), waitedFor(d))
 }
--- /dev/null
+++ b/internal/node/answers.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+type (
+	// controlAnswers answers the commands of operators at a control instance.
+	// Indexes and revisions are versions of the document here.
+	controlAnswers struct {
+		wire.DRPCControlUnimplementedServer
+		control *Control
+	}
+
+	// entryAnswers answers them at an entry.
+	entryAnswers struct {
+		wire.DRPCControlUnimplementedServer
+		entry *Entry
+	}
+)
+
+// Status tells what the instance believes, and which version each entry that is
+// linked to it has in force.
+func (a *controlAnswers) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	s := a.control.Status()
+	reply := &wire.StatusReply{
+		Name: s.Self, Domain: a.control.config.Domain, Role: s.Role, Term: s.Term, LeaderName: s.Leader,
+		Commit: s.Version, Applied: s.Version, Active: s.Version, Revision: s.Version,
+		Members: a.control.entries.members(), ByLeader: s.Leader != "",
+	}
+	for _, m := range reply.Members {
+		reply.Active = min(reply.Active, m.Applied)
+	}
+	return reply, nil
+}
+
+// Voters lists the voters; they are not changed by hand in this fabric.
+func (a *controlAnswers) Voters(_ context.Context, r *wire.VotersRequest) (*wire.VotersReply, error) {
+	if r.Add != "" || r.Remove != "" {
+		return &wire.VotersReply{
+			Kind: fault.Usage.Name(), Detail: "control instances of this fabric find and replace each other by themselves",
+		}, nil
+	}
+	const accepted = "accepted"
+	return &wire.VotersReply{Kind: accepted, Voters: a.control.Status().Voters}, nil
+}
+
+// Why says whom to ask: what operators ask about is decided at entries.
+func (a *controlAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
+	return &wire.WhyReply{Lines: []string{"a control instance carries no packets: ask an entry about a " + r.Matter}}, nil
+}
+
+// Stats returns the instance's figures.
+func (a *controlAnswers) Stats(context.Context, *wire.StatsRequest) (*wire.StatsReply, error) {
+	return statsReply(a.control.figures()), nil
+}
+
+// Status tells which version is in force at the entry, and what drains wait for.
+func (a *entryAnswers) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	e := a.entry
+	now := e.config.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	version := e.steerer.Version()
+	reply := &wire.StatusReply{
+		Name: e.config.Name, Domain: e.config.Domain, Role: "entry", Applied: version, Active: version,
+		Drains: e.steerer.Drains(now),
+	}
+	if e.held != nil {
+		reply.Revision, reply.Commit = e.held.Version(), e.held.Version()
+	}
+	return reply, nil
+}
+
+// Why explains a flow.
+func (a *entryAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
+	if r.Matter != "flow" {
+		return &wire.WhyReply{Lines: []string{"an entry of this fabric explains flows; look for what was " + r.Matter + " in its log lines"}}, nil
+	}
+	src, err := netip.ParseAddrPort(r.Source)
+	if err != nil {
+		return nil, fault.Wrap(fault.Usage, err)
+	}
+	dst, err := netip.ParseAddrPort(r.Target)
+	if err != nil {
+		return nil, fault.Wrap(fault.Usage, err)
+	}
+	e := a.entry
+	now := e.config.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.steerer.Explain(now, src, dst)
+	d.Entry, d.UnixNano = e.config.Name, time.Now().UnixNano() // the steady clock tells no time of day
+	return &wire.WhyReply{Decisions: []*wire.Decision{d}}, nil
+}
+
+// Stats returns the entry's figures.
+func (a *entryAnswers) Stats(context.Context, *wire.StatsRequest) (*wire.StatsReply, error) {
+	return statsReply(a.entry.figures()), nil
+}
+
+// statsReply returns figures as they travel.
+func statsReply(figures []figure) *wire.StatsReply {
+	reply := &wire.StatsReply{}
+	for _, f := range figures {
+		reply.Counters = append(reply.Counters, &wire.Counter{Name: f.name, Value: int64(f.value)})
+	}
+	return reply
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -45,6 +45,7 @@
 		roster    atomic.Pointer[madeRoster]
 		documents notifier
 		endpoints *endpointList
+		entries   *entryList
 		peers     *peerLinks
 
 		// Owned by loop.
@@ -60,7 +61,7 @@
 func NewControl(c ControlConfig) *Control {
 	const queue = 256
 	control := &Control{
-		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), waiting: map[uint64]chan bool{},
+		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), entries: newEntryList(c.Now), waiting: map[uint64]chan bool{},
 	}
 	control.status.Store(&madeStatus{})
 	control.published.Store(&published{})
@@ -72,7 +73,7 @@
 // Run serves until the context ends; an error at once is of kind AddressInUse
 // where the peer address cannot be had.
 func (c *Control) Run(ctx context.Context) error {
-	links, err := newLinkServer(c.config.Peer.String(), &linkHandler{control: c})
+	links, err := newLinkServer(c.config.Peer.String(), &linkHandler{control: c}, &controlAnswers{control: c})
 	if err != nil {
 		return err
 	}
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -16,26 +16,57 @@
 // add counts the packet that a decision is about.
 func (c *packetCounts) add(d steer.Decision) { c.byReason[d.Reason].Add(1) }
 
+// figure is a counter or gauge with its name, labels included.
+type figure struct {
+	name  string
+	value uint64
+}
+
+// writeFigures writes figures, a line each.
+func writeFigures(w io.Writer, figures []figure) {
+	for _, f := range figures {
+		fmt.Fprintf(w, "%s %d\n", f.name, f.value)
+	}
+}
+
 // WriteMetrics writes the entry's counters and gauges, a line each.
-func (e *Entry) WriteMetrics(w io.Writer) {
+func (e *Entry) WriteMetrics(w io.Writer) { writeFigures(w, e.figures()) }
+
+// figures returns the entry's counters and gauges.
+func (e *Entry) figures() []figure {
+	var all []figure
 	for _, reason := range steer.Reasons() {
-		fmt.Fprintf(w, "oxbowsaddle_packets_total{reason=%q} %d\n", reason, e.counts.byReason[reason].Load())
+		all = append(all, figure{fmt.Sprintf("oxbowsaddle_packets_total{reason=%q}", reason), e.counts.byReason[reason].Load()})
 	}
 	now := e.config.Now()
 	e.mu.Lock()
 	c := e.steerer.Counts(now)
 	e.mu.Unlock()
-	fmt.Fprintf(w, "oxbowsaddle_flows %d\noxbowsaddle_endpoints %d\noxbowsaddle_endpoints_silent %d\noxbowsaddle_endpoints_suspect %d\noxbowsaddle_document_version %d\n",
-		c.Flows, c.Endpoints, c.Silent, c.Suspect, c.Version)
+	return append(all,
+		figure{"oxbowsaddle_flows", uint64(c.Flows)},
+		figure{"oxbowsaddle_endpoints", uint64(c.Endpoints)},
+		figure{"oxbowsaddle_endpoints_silent", uint64(c.Silent)},
+		figure{"oxbowsaddle_endpoints_suspect", uint64(c.Suspect)},
+		figure{"oxbowsaddle_document_version", c.Version},
+	)
 }
 
 // WriteMetrics writes the control instance's gauges, a line each.
-func (c *Control) WriteMetrics(w io.Writer) {
+func (c *Control) WriteMetrics(w io.Writer) { writeFigures(w, c.figures()) }
+
+// figures returns the control instance's gauges.
+func (c *Control) figures() []figure {
 	s := c.Status()
-	current := 0
+	current := uint64(0)
 	if s.Current {
 		current = 1
 	}
-	fmt.Fprintf(w, "oxbowsaddle_log_term %d\noxbowsaddle_log_commit %d\noxbowsaddle_log_current %d\noxbowsaddle_voters %d\noxbowsaddle_document_version %d\n",
-		s.Term, s.Commit, current, len(s.Voters), s.Version)
+	return []figure{
+		{"oxbowsaddle_log_term", s.Term},
+		{"oxbowsaddle_log_commit", s.Commit},
+		{"oxbowsaddle_log_current", current},
+		{"oxbowsaddle_voters", uint64(len(s.Voters))},
+		{"oxbowsaddle_entries", uint64(c.entries.count())},
+		{"oxbowsaddle_document_version", s.Version},
+	}
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -33,13 +33,15 @@
 	EntryConfig struct {
 		Name    string
 		Domain  string
-		Packets netip.AddrPort   // where callers' packets arrive; resets go to the same port
-		Seeds   []netip.AddrPort // peer addresses of control instances
-		MaxFlow time.Duration    // no flow is older
-		Grace   time.Duration    // a planned stop must end within it
-		Codec   Codec
-		Log     *log.Logger
-		Now     func() time.Time
+		Packets netip.AddrPort // where callers' packets arrive; resets go to the same port
+		// Operators is where their commands are answered; the zero value is nowhere.
+		Operators netip.AddrPort
+		Seeds     []netip.AddrPort // peer addresses of control instances
+		MaxFlow   time.Duration    // no flow is older
+		Grace     time.Duration    // a planned stop must end within it
+		Codec     Codec
+		Log       *log.Logger
+		Now       func() time.Time
 	}
 
 	// Entry is a running entry.
@@ -87,9 +89,24 @@
 	defer stop()
 	e.watch.setSeeds(ctx, e.config.Seeds)
 	group.Go(func() error { return e.packetLoop(ctx, conn) })
+	group.Go(func() error { return e.serveOperators(ctx) })
 	return group.Wait()
 }
 
+// serveOperators answers their commands until the context ends; an address
+// that is taken costs the answers only.
+func (e *Entry) serveOperators(ctx context.Context) error {
+	if !e.config.Operators.IsValid() {
+		return nil
+	}
+	server, err := newLinkServer(e.config.Operators.String(), nil, &entryAnswers{entry: e})
+	if err != nil {
+		e.config.Log.Error("operators cannot be answered", "address", e.config.Operators, "error", err)
+		return nil
+	}
+	return server.run(ctx)
+}
+
 // Stop fails readiness, forwards on until the routers have turned away, and
 // returns; the caller then ends the context of Run.
 func (e *Entry) Stop(ctx context.Context) {
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -20,7 +20,7 @@
 func (l *entryLink) serve(ctx context.Context, loaded func()) error {
 	entry := l.watch.entry
 	digest := entry.digest()
-	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Digest: digest[:]})); err != nil {
+	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:]})); err != nil {
 		return err
 	}
 	entry.reach(l)
@@ -59,7 +59,7 @@
 		l.watch.takeRoster(ctx, l.address, body.Roster)
 		entry.askDocument() // where the one that was asked has not answered
 		// Shows the control instance that somebody still listens.
-		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}})
+		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{Version: entry.version()}}})
 	}
 	return nil
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -17,6 +17,8 @@
 type entryFeed struct {
 	control *Control
 	stream  wire.DRPCDirectory_LinkStream
+	name    string          // of the entry
+	domain  string          // of the entry
 	known   registry.Digest // what the entry knew when the link began
 	wants   chan uint64     // the version that the entry holds, when it asks
 	sent    uint64          // number of the last reports, 0 before the first
@@ -34,7 +36,8 @@
 		}
 		want := frame.GetWant()
 		if want == nil {
-			continue // it just shows that it listens
+			f.control.entries.heard(f, frame.GetReceipt().GetVersion())
+			continue
 		}
 		select {
 		case f.wants <- want.Held:
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -103,6 +103,13 @@
 	e.mu.Unlock()
 }
 
+// version returns the version in force, 0 before the first.
+func (e *Entry) version() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.steerer.Version()
+}
+
 // digest sums up what is known of endpoints.
 func (e *Entry) digest() registry.Digest {
 	e.mu.Lock()
--- a/internal/node/linkserver.go
+++ b/internal/node/linkserver.go
@@ -12,24 +12,30 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// linkServer accepts links.
+// linkServer accepts links, and the calls of operators.
 type linkServer struct {
 	listener net.Listener
 	server   *drpcserver.Server
 }
 
-// newLinkServer listens at an address; an error is of kind AddressInUse where
-// that cannot be had.
-func newLinkServer(address string, handler wire.DRPCDirectoryServer) (*linkServer, error) {
+// newLinkServer listens at an address for links, nil for none, and for the
+// commands of operators; an error is of kind AddressInUse where the address
+// cannot be had.
+func newLinkServer(address string, links wire.DRPCDirectoryServer, operators wire.DRPCControlServer) (*linkServer, error) {
 	config := net.ListenConfig{Control: limitUnacked}
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.AddressInUse, err)
 	}
 	mux := drpcmux.New()
-	if err := wire.DRPCRegisterDirectory(mux, handler); err != nil {
+	if err := wire.DRPCRegisterControl(mux, operators); err != nil {
 		return nil, fault.Wrap(fault.Internal, err)
 	}
+	if links != nil {
+		if err := wire.DRPCRegisterDirectory(mux, links); err != nil {
+			return nil, fault.Wrap(fault.Internal, err)
+		}
+	}
 	return &linkServer{listener: listener, server: drpcserver.New(mux)}, nil
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -26,7 +26,7 @@
 	if hello.Control {
 		return h.servePeer(stream)
 	}
-	return h.serveEntry(stream, registry.DigestOf(hello.Digest))
+	return h.serveEntry(stream, hello)
 }
 
 // servePeer takes what another control instance sends.
@@ -51,10 +51,15 @@
 }
 
 // serveEntry sends an entry what it lacks, then what changes.
-func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream, known registry.Digest) error {
+func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream, hello *wire.Hello) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	feed := &entryFeed{control: h.control, stream: stream, known: known, wants: make(chan uint64, 1)}
+	feed := &entryFeed{
+		control: h.control, stream: stream, name: hello.Id, domain: hello.Domain,
+		known: registry.DigestOf(hello.Digest), wants: make(chan uint64, 1),
+	}
+	h.control.entries.heard(feed, 0)
+	defer h.control.entries.lost(feed)
 	go feed.receiveLoop(ctx, cancel)
 	return feed.run(ctx)
 }
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -31,8 +31,9 @@
 	tag       uint32
 	warmUntil time.Time
 	goneAt    time.Time
-	silent    bool // by every control instance that knows it
-	shadowed  bool // another one has the same tag and comes first
+	leavingAt time.Time // when this entry learned that it leaves
+	silent    bool      // by every control instance that knows it
+	shadowed  bool      // another one has the same tag and comes first
 
 	flows        int // remembered by this entry
 	busy         int // requests of theirs that wait for the first byte of the answer
--- /dev/null
+++ b/internal/steer/explain.go
@@ -0,0 +1,159 @@
+package steer
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// nextSteps tells an operator what to do about a decision.
+var nextSteps = [ReasonCount]string{
+	Placed:       "nothing: this is where a new flow goes",
+	Steered:      "nothing: every packet of the flow names its endpoint",
+	Corrected:    "nothing: two endpoints answered, and the flow stays with the first that its caller took",
+	Replaced:     "look at the endpoint that did not answer",
+	NoTable:      "wait until the entry reaches a control instance; look for its log lines on lost ones",
+	NoRoute:      "give the address a route, or correct the caller",
+	RouteDropped: "bring the route back if the flow should live on",
+	NoEndpoint:   "start endpoints of the service, or keep some from leaving",
+	EndpointGone: "nothing: its caller opens another flow",
+}
+
+// Explain tells what the Steerer remembers of a flow, or, where it remembers
+// nothing, what it would do with its opening packet now; and of every endpoint
+// that the route leads to why it was chosen or passed over.
+func (s *Steerer) Explain(now time.Time, src, dst netip.AddrPort) *wire.Decision {
+	d := &wire.Decision{
+		UnixNano: now.UnixNano(), Subject: src.String() + " " + dst.String(), Index: s.Version(), Active: s.Version(),
+	}
+	r := s.routes[dst]
+	if r != nil {
+		d.Parameter = r.describe()
+	}
+	reason := s.explainFlow(now, d, r, Packet{Src: src, Dst: dst, Flags: Syn})
+	d.Reason, d.NextStep = reason.String(), nextSteps[reason]
+	if r != nil {
+		d.Candidates = s.candidates(now, r, d.Endpoint)
+	}
+	return d
+}
+
+// explainFlow fills in the action and the endpoint, and returns why.
+func (s *Steerer) explainFlow(now time.Time, d *wire.Decision, r *route, p Packet) Reason {
+	d.Action = Forward.String()
+	f := s.flows[flowKey{p.Src, p.Dst}]
+	switch {
+	case s.document == nil:
+		d.Action = Drop.String()
+		return NoTable
+	case r == nil && s.dropped[p.Dst]:
+		d.Action = Reset.String()
+		return RouteDropped
+	case r == nil:
+		d.Action = Reset.String()
+		return NoRoute
+	case f != nil:
+		d.Endpoint = f.backend.ID
+		d.Hops = append(d.Hops, f.describe(now))
+		if f.moved {
+			return Corrected
+		}
+		return Steered
+	}
+	d.Recomputed = true
+	b := s.choose(now, r, p, nil)
+	switch {
+	case b == nil && !s.whole:
+		d.Action = Drop.String()
+		return NoTable
+	case b == nil:
+		d.Action = Reset.String()
+		return NoEndpoint
+	}
+	d.Endpoint = b.ID
+	return Placed
+}
+
+// describe names a route with the weights of its services.
+func (r *route) describe() string {
+	var shares []string
+	for _, share := range r.Shares {
+		shares = append(shares, fmt.Sprintf("%s %d", share.Service, share.Weight))
+	}
+	return fmt.Sprintf("route %s: services by weight: %s; priority %d, bulk %t", r.Name, strings.Join(shares, ", "), r.Priority, r.Bulk)
+}
+
+// describe tells what is remembered of a flow.
+func (f *flow) describe(now time.Time) string {
+	state := "its caller has not gone on yet"
+	switch {
+	case f.busy:
+		state = "a request waits for its answer"
+	case f.open:
+		state = "open"
+	}
+	return fmt.Sprintf("placed or moved %s ago, last packet %s ago, %s", now.Sub(f.opened).Round(time.Millisecond),
+		now.Sub(f.seen).Round(time.Millisecond), state)
+}
+
+// candidates tells of each endpoint of a route's services why it is chosen or
+// passed over, by id.
+func (s *Steerer) candidates(now time.Time, r *route, chosen string) []*wire.Candidate {
+	var all []*wire.Candidate
+	for _, share := range r.Shares {
+		for _, b := range s.pools[share.Service] {
+			verdict := b.verdict(now, s.config.Domain, r.Bulk)
+			if b.ID == chosen {
+				verdict = "chosen; " + verdict
+			}
+			all = append(all, &wire.Candidate{Endpoint: b.ID, Verdict: verdict})
+		}
+	}
+	slices.SortFunc(all, func(a, b *wire.Candidate) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return all
+}
+
+// verdict tells what speaks for and against an endpoint.
+func (b *backend) verdict(now time.Time, domain string, bulk bool) string {
+	switch {
+	case b.Gone:
+		return fmt.Sprintf("has ended %s ago", now.Sub(b.goneAt).Round(time.Millisecond))
+	case b.Leaving:
+		return "is leaving and takes no new flow"
+	case b.shadowed:
+		return "has the tag of another endpoint and takes no flow"
+	}
+	verdict := fmt.Sprintf("load %.2f: %d flows and %d waiting requests on %d slots", b.load(now, domain, bulk), b.flows, b.busy, b.Slots)
+	if b.Domain != domain {
+		verdict += ", in failure domain " + b.Domain
+	}
+	if now.Before(b.warmUntil) {
+		verdict += ", still slow"
+	}
+	if b.silent {
+		verdict += ", avoided: no control instance hears it"
+	}
+	if now.Before(b.suspectUntil) {
+		verdict += fmt.Sprintf(", avoided for %s: it left flows without an answer", b.suspectUntil.Sub(now).Round(time.Millisecond))
+	}
+	return verdict
+}
+
+// Drains returns the endpoints that leave, by id, with the flows of theirs that
+// this entry remembers.
+func (s *Steerer) Drains(now time.Time) []*wire.DrainStatus {
+	var all []*wire.DrainStatus
+	for _, b := range s.byID {
+		if b.Leaving && !b.Gone {
+			all = append(all, &wire.DrainStatus{
+				Service: b.Service, Endpoint: b.ID, Flows: uint32(b.flows), SinceNanos: int64(now.Sub(b.leavingAt)),
+			})
+		}
+	}
+	slices.SortFunc(all, func(a, b *wire.DrainStatus) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return all
+}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -130,6 +130,9 @@
 	if b.Gone && b.goneAt.IsZero() {
 		b.goneAt = now
 	}
+	if b.Leaving && b.leavingAt.IsZero() {
+		b.leavingAt = now
+	}
 	b.warmUntil = now.Add(e.Warm)
 }
 
