--- a/internal/controller/transition.go
+++ b/internal/controller/transition.go
@@ -94,7 +94,13 @@
 	} else if f.zero.IsZero() {
 		f.zero = now
 	}
-	if len(k.state.Table().Cut()) > 0 || now.Sub(f.quiet) < s.Policy().Idle+k.config.SettleAfter {
+	if k.state.Table().Suspect() {
+		// Packets of flows that nobody knows are withheld, so a living flow may
+		// not show itself: it has an idle limit for it once the doubt has ended.
+		f.quiet = time.Time{}
+		return doNothing
+	}
+	if now.Sub(f.quiet) < s.Policy().Idle+k.config.SettleAfter {
 		return doNothing
 	}
 	switch {
--- a/internal/soak/mix_test.go
+++ b/internal/soak/mix_test.go
@@ -35,6 +35,21 @@
 	}
 }
 
+// failedOnce holds every seed that ever failed, with what mended it in
+// docs/design/flows.md.
+var failedOnce = []uint64{36, 797, 1089, 1102, 1178, 1242}
+
+func TestSeedsThatFailedOnce(t *testing.T) {
+	for _, seed := range failedOnce {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed)
+			w.Mix(25)
+			check(t, w, seed)
+		})
+	}
+}
+
 // traceTo writes every step of a world to a file.
 func traceTo(t *testing.T, w *World, path string) {
 	f, err := os.Create(path)
