Tried: an entry is told briefly, by sums of parts, what another control instance tells it whole

Change: one control instance, of the own failure domain where there is one, tells an entry every change as it comes; the others tell, after 0.2 s, the sums of the parts of the digest that changed, and the entry asks for the parts that differ from its own.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -75,6 +75,21 @@
 	return l.registry.Changes(l.now(), number)
 }
 
+// changesBrieflyAfter returns what an entry must know of the changes after a
+// number that somebody else tells it whole.
+func (l *endpointList) changesBrieflyAfter(number uint64) *wire.Reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.ChangesBriefly(l.now(), number)
+}
+
+// inParts returns all that is known of some parts of the endpoints.
+func (l *endpointList) inParts(parts uint64) *wire.Reports {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.InParts(l.now(), parts)
+}
+
 // lacking returns what an entry lacks whose digest is given.
 func (l *endpointList) lacking(known registry.Digest) *wire.Reports {
 	l.mu.Lock()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,6 +56,7 @@
 		steerer *steer.Steerer
 		held    *document.Document // the newest that has come, in force or about to be
 		fetch   *fetch
+		primary *primary
 		links   map[string]*entryLink // by address
 
 		// Owned by packetLoop.
@@ -66,7 +67,7 @@
 
 // NewEntry returns an entry that does not run yet.
 func NewEntry(c EntryConfig) *Entry {
-	e := &Entry{config: c, fetch: newFetch(), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
+	e := &Entry{config: c, fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows,
 		Suspected: func(id string, suspect bool) {
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -20,7 +20,7 @@
 func (l *entryLink) serve(ctx context.Context, loaded func()) error {
 	entry := l.watch.entry
 	digest := entry.digest()
-	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:]})); err != nil {
+	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:], Brief: true})); err != nil {
 		return err
 	}
 	entry.reach(l)
@@ -45,6 +45,12 @@
 	return l.stream.Send(frame)
 }
 
+// subscribe has the control instance tell every change of endpoints, or tell
+// them briefly.
+func (l *entryLink) subscribe(brief bool) error {
+	return l.send(&wire.Frame{Body: &wire.Frame_Subscription{Subscription: &wire.Subscription{Brief: brief}}})
+}
+
 // take does what one frame asks for.
 func (l *entryLink) take(ctx context.Context, frame *wire.Frame) error {
 	entry := l.watch.entry
@@ -54,9 +60,12 @@
 	case *wire.Frame_Document:
 		entry.takeDocument(l.address, body.Document)
 	case *wire.Frame_Reports:
-		entry.takeReports(l.address, body.Reports)
+		if lacking := entry.takeReports(l.address, body.Reports); lacking != 0 {
+			return l.send(&wire.Frame{Body: &wire.Frame_Parts{Parts: &wire.PartsWant{Parts: lacking}}})
+		}
 	case *wire.Frame_Roster:
 		l.watch.takeRoster(ctx, l.address, body.Roster)
+		entry.locate(l.address, body.Roster)
 		entry.askDocument() // where the one that was asked has not answered
 		// Shows the control instance that somebody still listens.
 		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{Version: entry.version()}}})
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -8,10 +8,16 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// feedGap is how long a feed lets changes of endpoints gather before it tells
-// them: far below the time that an entry has for any of them, and one frame
-// instead of many when a fleet starts.
-const feedGap = 20 * time.Millisecond
+const (
+	// feedGap is how long a feed lets changes of endpoints gather before it
+	// tells them: far below the time that an entry has for any of them, and one
+	// frame instead of many when a fleet starts.
+	feedGap = 20 * time.Millisecond
+	// briefGap is the same for an entry that another control instance tells
+	// them whole: long enough for that one to have told them, and still far
+	// below the time that an entry has.
+	briefGap = 200 * time.Millisecond
+)
 
 // entryFeed sends one entry what it lacks.
 type entryFeed struct {
@@ -21,8 +27,12 @@
 	domain  string          // of the entry
 	known   registry.Digest // what the entry knew when the link began
 	wants   chan uint64     // the version that the entry holds, when it asks
-	sent    uint64          // number of the last reports, 0 before the first
-	offered *published      // what the last offer told of
+	parts   chan uint64     // the parts of the endpoints that the entry asks for
+	modes   chan bool       // whether it is told briefly from now on
+	brief   bool
+	due     <-chan time.Time // when changes have gathered, nil while there are none
+	sent    uint64           // number of the last reports, 0 before the first
+	offered *published       // what the last offer told of
 }
 
 // receiveLoop takes what the entry asks for until the link fails, and then
@@ -34,19 +44,27 @@
 		if err != nil {
 			return
 		}
-		want := frame.GetWant()
-		if want == nil {
-			f.control.entries.heard(f, frame.GetReceipt().GetVersion())
-			continue
-		}
-		select {
-		case f.wants <- want.Held:
-		case <-ctx.Done():
-			return
+		switch body := frame.Body.(type) {
+		case *wire.Frame_Want:
+			hand(ctx, f.wants, body.Want.Held)
+		case *wire.Frame_Parts:
+			hand(ctx, f.parts, body.Parts.Parts)
+		case *wire.Frame_Subscription:
+			hand(ctx, f.modes, body.Subscription.Brief)
+		case *wire.Frame_Receipt:
+			f.control.entries.heard(f, body.Receipt.Version)
 		}
 	}
 }
 
+// hand gives a value to the goroutine that owns the feed.
+func hand[T any](ctx context.Context, to chan<- T, value T) {
+	select {
+	case to <- value:
+	case <-ctx.Done():
+	}
+}
+
 // run sends until the link fails.
 func (f *entryFeed) run(ctx context.Context) error {
 	changed, cancel := f.control.endpoints.changes.subscribe()
@@ -55,51 +73,81 @@
 	defer cancelDocuments()
 	ticker := time.NewTicker(2 * frameEvery)
 	defer ticker.Stop()
-	for {
-		if err := f.sendNews(); err != nil {
-			return err
-		}
-		var err error
+	err := f.sendOffer()
+	if err == nil {
+		err = f.sendReports()
+	}
+	for err == nil {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
-			time.Sleep(feedGap)
+			f.gather()
+		case <-f.due:
+			err = f.sendReports()
 		case <-documents:
+			err = f.sendOffer()
 		case held := <-f.wants:
 			err = f.sendDocument(held)
+		case parts := <-f.parts:
+			err = f.stream.Send(reportsFrame(f.control.endpoints.inParts(parts)))
+		case f.brief = <-f.modes:
+			err = f.sendReports()
 		case <-ticker.C:
 			err = f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: f.control.roster.Load().roster}})
 		}
-		if err != nil {
-			return err
-		}
 	}
+	return err
 }
 
-// sendNews offers a document that came in force, and reports endpoints.
-func (f *entryFeed) sendNews() error {
-	if p := f.control.published.Load(); p != f.offered && p.document() != nil {
-		offer := &wire.DocumentOffer{Version: p.document().Version(), Confirmed: p.confirmed}
-		if err := f.stream.Send(&wire.Frame{Body: &wire.Frame_Offer{Offer: offer}}); err != nil {
-			return err
-		}
-		f.offered = p
+// gather lets further changes come before those that have are told.
+func (f *entryFeed) gather() {
+	gap := feedGap
+	if f.brief {
+		gap = briefGap
+	}
+	if f.due == nil {
+		f.due = time.After(gap)
+	}
+}
+
+// sendOffer offers a document that came in force.
+func (f *entryFeed) sendOffer() error {
+	p := f.control.published.Load()
+	if p == f.offered || p.document() == nil {
+		return nil
 	}
+	f.offered = p
+	offer := &wire.DocumentOffer{Version: p.document().Version(), Confirmed: p.confirmed}
+	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Offer{Offer: offer}})
+}
+
+// sendReports tells the entry of endpoints.
+func (f *entryFeed) sendReports() error {
+	f.due = nil
 	reports := f.reports()
-	if len(reports.Endpoints) == 0 && f.sent > 0 {
+	if len(reports.Endpoints)+len(reports.Sums) == 0 && f.sent > 0 {
 		return nil
 	}
 	f.sent = reports.Number
-	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Reports{Reports: reports}})
+	return f.stream.Send(reportsFrame(reports))
+}
+
+// reportsFrame returns the frame that tells of endpoints.
+func reportsFrame(reports *wire.Reports) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Reports{Reports: reports}}
 }
 
 // reports returns what the entry lacks, and later what has changed.
 func (f *entryFeed) reports() *wire.Reports {
-	if f.sent == 0 {
+	switch {
+	case f.sent == 0:
 		return f.control.endpoints.lacking(f.known)
+	case f.brief:
+		return f.control.endpoints.changesBrieflyAfter(f.sent)
+	default:
+		return f.control.endpoints.changesAfter(f.sent)
 	}
-	return f.control.endpoints.changesAfter(f.sent)
 }
 
 // sendDocument sends what is in force, as what differs from the version that
--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -36,4 +36,17 @@
 		control.endpoints.leave("i-1")
 		Expect(feed.reports().Endpoints).To(HaveLen(1))
 	})
+
+	ginkgo.It("is the sums of the parts that changed where it is told briefly", func() {
+		feed := &entryFeed{control: control, brief: true}
+		Expect(feed.reports().Endpoints).To(HaveLen(1), "all at first")
+		feed.sent = control.endpoints.changed()
+		other := endpoint
+		other.ID, other.Addr = "i-2", netip.MustParseAddrPort("10.0.0.2:80")
+		control.endpoints.hear(other)
+		told := feed.reports()
+		Expect(told.Endpoints).To(BeEmpty())
+		Expect(told.Sums).To(HaveLen(1))
+		Expect(control.endpoints.inParts(1 << told.Sums[0].Part).Endpoints).To(ContainElement(HaveField("Id", "i-2")))
+	})
 })
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"oxbowsaddle/internal/document"
@@ -18,8 +20,39 @@
 // reach notes that a control instance can be asked.
 func (e *Entry) reach(l *entryLink) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.links[l.address] = l
+	e.mu.Unlock()
+	e.choosePrimary()
+}
+
+// locate takes from a roster, whose sender comes first, where the sender is.
+func (e *Entry) locate(source string, roster *wire.Roster) {
+	if len(roster.Instances) == 0 {
+		return
+	}
+	e.mu.Lock()
+	e.primary.locate(source, roster.Instances[0].Domain)
+	e.mu.Unlock()
+	e.choosePrimary()
+}
+
+// choosePrimary has one control instance tell every change of endpoints, and the
+// others tell them briefly.
+func (e *Entry) choosePrimary() {
+	e.mu.Lock()
+	before, changed := e.primary.choose(slices.Sorted(maps.Keys(e.links)))
+	now, last := e.links[e.primary.chosen], e.links[before]
+	e.mu.Unlock()
+	if !changed {
+		return
+	}
+	// A link that fails is noticed where it is read; another one is chosen then.
+	if now != nil {
+		_ = now.subscribe(false)
+	}
+	if last != nil {
+		_ = last.subscribe(true)
+	}
 }
 
 // takeOffer notes which version a control instance has in force, and asks for
@@ -95,12 +128,13 @@
 	}
 }
 
-// takeReports takes what a control instance reports of endpoints.
-func (e *Entry) takeReports(source string, reports *wire.Reports) {
+// takeReports takes what a control instance reports of endpoints. It returns a
+// bit for each part of them that it must be asked for.
+func (e *Entry) takeReports(source string, reports *wire.Reports) (lacking uint64) {
 	now := e.config.Now()
 	e.mu.Lock()
-	e.steerer.Learn(now, source, reports)
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	return e.steerer.Learn(now, source, reports)
 }
 
 // version returns the version in force, 0 before the first.
@@ -125,5 +159,6 @@
 	e.fetch.lost(source)
 	delete(e.links, source)
 	e.mu.Unlock()
+	e.choosePrimary()
 	e.askDocument()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -159,7 +159,7 @@
 	sent := uint64(0)
 	for {
 		reports := l.control.endpoints.beatsAfter(sent)
-		if err := stream.Send(&wire.Frame{Body: &wire.Frame_Reports{Reports: reports}}); err != nil {
+		if err := stream.Send(reportsFrame(reports)); err != nil {
 			return err
 		}
 		sent = reports.Number
--- /dev/null
+++ b/internal/node/primary.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"slices"
+
+	"github.com/dchest/siphash"
+)
+
+// The keys by which entries spread over control instances.
+const (
+	primaryKey0 = 0x6f78626f77736164
+	primaryKey1 = 0x7072696d61727900
+)
+
+// primary decides from which control instance an entry is told every change of
+// endpoints as it comes. The others tell it briefly which parts have changed, so
+// that it notices at once what the primary does not tell, without being told all
+// of it by each.
+type primary struct {
+	entry   string            // name of the entry, by which entries spread
+	domain  string            // failure domain of the entry
+	domains map[string]string // failure domain of a control instance, by address
+	chosen  string            // address, "" for none
+}
+
+func newPrimary(entry, domain string) *primary {
+	return &primary{entry: entry, domain: domain, domains: map[string]string{}}
+}
+
+// locate notes in which failure domain a control instance is.
+func (p *primary) locate(address, domain string) { p.domains[address] = domain }
+
+// choose chooses among the control instances that are linked: the present one
+// as long as it is and none is nearer, else one of the own failure domain, else
+// any. It reports the one before where that changes.
+func (p *primary) choose(linked []string) (before string, changed bool) {
+	before = p.chosen
+	near := slices.DeleteFunc(slices.Clone(linked), func(address string) bool { return p.domains[address] != p.domain })
+	if len(near) == 0 {
+		near = linked
+	}
+	if slices.Contains(near, before) {
+		return before, false
+	}
+	p.chosen = ""
+	if len(near) > 0 {
+		p.chosen = slices.MaxFunc(near, func(a, b string) int {
+			if p.rank(a) < p.rank(b) {
+				return -1
+			}
+			return 1
+		})
+	}
+	return before, p.chosen != before
+}
+
+// rank returns a number for a control instance that differs by entry.
+func (p *primary) rank(address string) uint64 {
+	return siphash.Hash(primaryKey0, primaryKey1, []byte(p.entry+" "+address))
+}
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/dchest/siphash"
+
+	"oxbowsaddle/internal/wire"
 )
 
 // digestParts is into how many parts endpoints are divided by their ids: one
@@ -42,9 +44,23 @@
 	return d
 }
 
-// InParts reports whether an endpoint is in one of the parts of which bits has
-// a bit.
-func InParts(bits uint64, id string) bool { return bits>>part(id)&1 == 1 }
+// PartBit returns the bit of the part that an endpoint belongs to.
+func PartBit(id string) uint64 { return 1 << part(id) }
+
+// Compare returns a bit for each of the parts whose sum is the same as in this
+// digest, and for each of which it differs.
+func (d *Digest) Compare(sums []*wire.PartSum) (same, differing uint64) {
+	for _, s := range sums {
+		switch {
+		case s.Part >= digestParts: // no part of this version's
+		case d[s.Part] == s.Sum:
+			same |= 1 << s.Part
+		default:
+			differing |= 1 << s.Part
+		}
+	}
+	return same, differing
+}
 
 // part returns the part that an endpoint belongs to.
 func part(id string) int {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,6 +65,7 @@
 		silent   bool
 		counted  Endpoint // as the registry's digest has it
 		changed  uint64   // number of the last change that entries must know
+		turned   uint64   // number of the last change that was about silence
 		beaten   uint64   // number of the last heartbeat or change that peers must know
 		inChanges,
 		inBeats *list.Element
@@ -106,6 +107,9 @@
 		held = &record{}
 		r.records[e.ID] = held
 	}
+	if held.silent {
+		held.turned = r.number
+	}
 	held.endpoint, held.silent = e, false
 	if heard.After(held.heard) {
 		held.heard = heard
@@ -224,7 +228,7 @@
 		}
 		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
 			r.number++
-			held.silent = quiet
+			held.silent, held.turned = quiet, r.number
 			r.change(now, held)
 		}
 	}
@@ -267,12 +271,43 @@
 	return out
 }
 
+// ChangesBriefly returns what has changed after a number for an entry that
+// another control instance tells every record: the sums of the parts that
+// changes touch, and only what says of an endpoint that it fell silent, or no
+// longer is, whole, since that is this registry's own view.
+func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
+	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
+	var told uint64
+	for e := r.changes.Back(); e != nil && e.Value.(*record).changed > after; e = e.Prev() {
+		held := e.Value.(*record)
+		if held.turned > after {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+		if n := part(held.endpoint.ID); told&(1<<n) == 0 {
+			told |= 1 << n
+			out.Sums = append(out.Sums, &wire.PartSum{Part: uint32(n), Sum: r.digest[n]})
+		}
+	}
+	return out
+}
+
+// InParts returns all records of some parts, a bit for each.
+func (r *Registry) InParts(now time.Time, parts uint64) *wire.Reports {
+	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
+	for e := r.changes.Back(); e != nil; e = e.Prev() {
+		if held := e.Value.(*record); parts&PartBit(held.endpoint.ID) != 0 {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+	}
+	return out
+}
+
 // Lacking returns the records that an entry lacks which knows what its digest
 // says: the parts on which both differ, and of the others what is silent.
 func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now), Same: r.digest.same(&known)}
 	for e := r.changes.Back(); e != nil; e = e.Prev() {
-		if held := e.Value.(*record); held.silent || !InParts(out.Same, held.endpoint.ID) {
+		if held := e.Value.(*record); held.silent || out.Same&PartBit(held.endpoint.ID) == 0 {
 			out.Endpoints = append(out.Endpoints, message(now, held))
 		}
 	}
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -29,6 +29,7 @@
 type backend struct {
 	registry.Endpoint
 	tag       uint32
+	part      uint64 // bit of its part of the digest
 	warmUntil time.Time
 	goneAt    time.Time
 	leavingAt time.Time // when this entry learned that it leaves
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/registry"
 )
 
 const (
@@ -43,6 +44,7 @@
 		pools    map[string][]*backend      // by service
 		silentBy map[string]map[string]bool // by control instance, then endpoint
 		whole    bool                       // a control instance has reported every endpoint
+		digest   registry.Digest            // of byID
 
 		flows   map[flowKey]*flow
 		resting *list.List // flows, the longest at rest first
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -288,6 +288,23 @@
 		Expect(s.byID["booking-1"].silent).To(BeTrue())
 	})
 
+	It("notices by brief reports what it was not told, and takes the rest for heard", func() {
+		r := registry.New(registry.Config{Beat: time.Second}, start)
+		r.Merge(start, reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil)))
+		before := r.Changed()
+		s.Learn(start, "c2", r.Lacking(start, s.Digest()))
+		r.Merge(start, reports(report("booking", 4, nil)))
+		brief := r.ChangesBriefly(start, before)
+		lacking := s.Learn(start, "c2", brief)
+		Expect(lacking).To(Equal(registry.PartBit("booking-4")))
+		Expect(s.byID).NotTo(HaveKey("booking-4"))
+
+		s.Learn(start, "c1", reports(report("booking", 4, func(m *wire.EndpointReport) { m.Silent = true })))
+		Expect(s.byID["booking-4"].silent).To(BeTrue())
+		Expect(s.Learn(start, "c2", brief)).To(BeZero())
+		Expect(s.byID["booking-4"].silent).To(BeFalse(), "c2 knows it and has not called it silent")
+	})
+
 	It("has the digest of the control instance that told it all, also of what has ended", func() {
 		r := registry.New(registry.Config{Beat: time.Second}, start)
 		all := reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil))
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -56,8 +56,9 @@
 	return s.document.Version()
 }
 
-// Learn takes what a control instance, source, reports of endpoints.
-func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) {
+// Learn takes what a control instance, source, reports of endpoints. It returns
+// a bit for each part of them of which that one knows something else.
+func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) (lacking uint64) {
 	heard := s.silentBy[source]
 	if heard == nil {
 		heard = map[string]bool{}
@@ -72,16 +73,19 @@
 		}
 	}
 	s.whole = s.whole || reports.Whole
+	same, lacking := s.digest.Compare(reports.Sums)
+	s.learnSame(heard, same)
+	return lacking
 }
 
-// learnSame takes that a control instance knows just what the digest said of
-// some parts of the endpoints: it has heard from them.
+// learnSame takes that a control instance knows just what this entry knows of
+// some parts of the endpoints: those that it has not called silent it hears.
 func (s *Steerer) learnSame(heard map[string]bool, parts uint64) {
 	if parts == 0 {
 		return
 	}
 	for id, b := range s.byID {
-		if registry.InParts(parts, id) {
+		if _, said := heard[id]; !said && parts&b.part != 0 {
 			heard[id] = false
 			s.settleSilence(b)
 		}
@@ -90,13 +94,7 @@
 
 // Digest sums up what is known of endpoints, so that a control instance can
 // leave out what need not be told.
-func (s *Steerer) Digest() registry.Digest {
-	var d registry.Digest
-	for _, b := range s.byID {
-		d.Add(b.Endpoint)
-	}
-	return d
-}
+func (s *Steerer) Digest() registry.Digest { return s.digest }
 
 // Forget drops what a control instance said about silence: it is out of reach.
 func (s *Steerer) Forget(source string) {
@@ -106,15 +104,26 @@
 	}
 }
 
-// learn takes what is reported of one endpoint. A report that it has ended
-// stands; otherwise the highest sequence does.
+// learn takes what is reported of one endpoint, and keeps the digest.
 func (s *Steerer) learn(now time.Time, e registry.Endpoint) {
+	if b := s.byID[e.ID]; b != nil {
+		s.digest.Add(b.Endpoint)
+	}
+	s.take(now, e)
+	if b := s.byID[e.ID]; b != nil {
+		s.digest.Add(b.Endpoint)
+	}
+}
+
+// take takes what is reported of one endpoint. A report that it has ended
+// stands; otherwise the highest sequence does.
+func (s *Steerer) take(now time.Time, e registry.Endpoint) {
 	b := s.byID[e.ID]
 	switch {
 	case b == nil && e.Gone && !e.Addr.IsValid():
 		return
 	case b == nil:
-		b = &backend{Endpoint: e, tag: Tag(e.ID)}
+		b = &backend{Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID)}
 		s.byID[e.ID] = b
 		s.pools[e.Service] = append(s.pools[e.Service], b)
 		s.settleTag(b)
@@ -174,6 +183,7 @@
 			continue
 		}
 		delete(s.byID, id)
+		s.digest.Add(b.Endpoint)
 		if s.byTag[b.tag] == b {
 			delete(s.byTag, b.tag)
 		}
