One control instance tells an entry every change of endpoints, the others tell sums of records

Change: after 0.2 s the other control instances tell the sum of each record that changed, and the entry asks for those that it knows otherwise or not at all; what says of an endpoint that it fell silent is told whole by each. What has ended for good is not asked for.

The lists of entries that start, and heartbeats, are what is left.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -83,11 +83,11 @@
 	return l.registry.ChangesBriefly(l.now(), number)
 }
 
-// inParts returns all that is known of some parts of the endpoints.
-func (l *endpointList) inParts(parts uint64) *wire.Reports {
+// records returns what is known of some endpoints.
+func (l *endpointList) records(ids []string) *wire.Reports {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.registry.InParts(l.now(), parts)
+	return l.registry.Records(l.now(), ids)
 }
 
 // lacking returns what an entry lacks whose digest is given.
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -60,8 +60,8 @@
 	case *wire.Frame_Document:
 		entry.takeDocument(l.address, body.Document)
 	case *wire.Frame_Reports:
-		if lacking := entry.takeReports(l.address, body.Reports); lacking != 0 {
-			return l.send(&wire.Frame{Body: &wire.Frame_Parts{Parts: &wire.PartsWant{Parts: lacking}}})
+		if lacking := entry.takeReports(l.address, body.Reports); len(lacking) > 0 {
+			return l.send(&wire.Frame{Body: &wire.Frame_Records{Records: &wire.RecordsWant{Ids: lacking}}})
 		}
 	case *wire.Frame_Roster:
 		l.watch.takeRoster(ctx, l.address, body.Roster)
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -27,7 +27,7 @@
 	domain  string          // of the entry
 	known   registry.Digest // what the entry knew when the link began
 	wants   chan uint64     // the version that the entry holds, when it asks
-	parts   chan uint64     // the parts of the endpoints that the entry asks for
+	records chan []string   // the endpoints that the entry asks for
 	modes   chan bool       // whether it is told briefly from now on
 	brief   bool
 	due     <-chan time.Time // when changes have gathered, nil while there are none
@@ -47,8 +47,8 @@
 		switch body := frame.Body.(type) {
 		case *wire.Frame_Want:
 			hand(ctx, f.wants, body.Want.Held)
-		case *wire.Frame_Parts:
-			hand(ctx, f.parts, body.Parts.Parts)
+		case *wire.Frame_Records:
+			hand(ctx, f.records, body.Records.Ids)
 		case *wire.Frame_Subscription:
 			hand(ctx, f.modes, body.Subscription.Brief)
 		case *wire.Frame_Receipt:
@@ -89,8 +89,8 @@
 			err = f.sendOffer()
 		case held := <-f.wants:
 			err = f.sendDocument(held)
-		case parts := <-f.parts:
-			err = f.stream.Send(reportsFrame(f.control.endpoints.inParts(parts)))
+		case ids := <-f.records:
+			err = f.stream.Send(reportsFrame(f.control.endpoints.records(ids)))
 		case f.brief = <-f.modes:
 			err = f.sendReports()
 		case <-ticker.C:
--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -37,7 +37,7 @@
 		Expect(feed.reports().Endpoints).To(HaveLen(1))
 	})
 
-	ginkgo.It("is the sums of the parts that changed where it is told briefly", func() {
+	ginkgo.It("is the sums of what changed where it is told briefly", func() {
 		feed := &entryFeed{control: control, brief: true}
 		Expect(feed.reports().Endpoints).To(HaveLen(1), "all at first")
 		feed.sent = control.endpoints.changed()
@@ -47,6 +47,7 @@
 		told := feed.reports()
 		Expect(told.Endpoints).To(BeEmpty())
 		Expect(told.Sums).To(HaveLen(1))
-		Expect(control.endpoints.inParts(1 << told.Sums[0].Part).Endpoints).To(ContainElement(HaveField("Id", "i-2")))
+		Expect(told.Sums[0].Id).To(Equal("i-2"))
+		Expect(control.endpoints.records([]string{"i-2", "unknown"}).Endpoints).To(ConsistOf(HaveField("Id", "i-2")))
 	})
 })
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -128,9 +128,9 @@
 	}
 }
 
-// takeReports takes what a control instance reports of endpoints. It returns a
-// bit for each part of them that it must be asked for.
-func (e *Entry) takeReports(source string, reports *wire.Reports) (lacking uint64) {
+// takeReports takes what a control instance reports of endpoints. It returns the
+// ids of those that it must be asked for.
+func (e *Entry) takeReports(source string, reports *wire.Reports) (lacking []string) {
 	now := e.config.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/node/primary.go
+++ b/internal/node/primary.go
@@ -13,9 +13,9 @@
 )
 
 // primary decides from which control instance an entry is told every change of
-// endpoints as it comes. The others tell it briefly which parts have changed, so
-// that it notices at once what the primary does not tell, without being told all
-// of it by each.
+// endpoints as it comes. The others tell it sums of what has changed, so that it
+// notices soon what the primary does not tell, without being told all of it by
+// each.
 type primary struct {
 	entry   string            // name of the entry, by which entries spread
 	domain  string            // failure domain of the entry
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -57,7 +57,7 @@
 	feed := &entryFeed{
 		control: h.control, stream: stream, name: hello.Id, domain: hello.Domain,
 		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
-		wants: make(chan uint64, 1), parts: make(chan uint64, 1), modes: make(chan bool, 1),
+		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
 	}
 	h.control.entries.heard(feed, 0)
 	defer h.control.entries.lost(feed)
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -2,8 +2,6 @@
 
 import (
 	"github.com/dchest/siphash"
-
-	"oxbowsaddle/internal/wire"
 )
 
 // digestParts is into how many parts endpoints are divided by their ids: one
@@ -24,7 +22,7 @@
 
 // Add adds an endpoint, or takes it out. One that was only heard of as ended
 // does not count.
-func (d *Digest) Add(e Endpoint) { d[part(e.ID)] ^= sum(e) }
+func (d *Digest) Add(e Endpoint) { d[part(e.ID)] ^= Sum(e) }
 
 // same returns a bit for each part in which two digests agree.
 func (d *Digest) same(other *Digest) uint64 {
@@ -47,29 +45,15 @@
 // PartBit returns the bit of the part that an endpoint belongs to.
 func PartBit(id string) uint64 { return 1 << part(id) }
 
-// Compare returns a bit for each of the parts whose sum is the same as in this
-// digest, and for each of which it differs.
-func (d *Digest) Compare(sums []*wire.PartSum) (same, differing uint64) {
-	for _, s := range sums {
-		switch {
-		case s.Part >= digestParts: // no part of this version's
-		case d[s.Part] == s.Sum:
-			same |= 1 << s.Part
-		default:
-			differing |= 1 << s.Part
-		}
-	}
-	return same, differing
-}
-
 // part returns the part that an endpoint belongs to.
 func part(id string) int {
 	return int(siphash.Hash(digestKey0, digestKey1, []byte(id)) % digestParts)
 }
 
-// sum returns what an endpoint adds to its part. Of one that has ended only
-// that counts.
-func sum(e Endpoint) uint64 {
+// Sum sums up what is known of an endpoint, without what each heartbeat changes.
+// Of one that has ended only that counts, and 0 is one that was only heard of as
+// ended.
+func Sum(e Endpoint) uint64 {
 	if !e.Addr.IsValid() {
 		return 0
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -272,30 +272,27 @@
 }
 
 // ChangesBriefly returns what has changed after a number for an entry that
-// another control instance tells every record: the sums of the parts that
-// changes touch, and only what says of an endpoint that it fell silent, or no
-// longer is, whole, since that is this registry's own view.
+// another control instance tells every record: only sums, but what says of an
+// endpoint that it fell silent, or no longer is, whole, since that is this
+// registry's own view.
 func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	var told uint64
 	for e := r.changes.Back(); e != nil && e.Value.(*record).changed > after; e = e.Prev() {
 		held := e.Value.(*record)
 		if held.turned > after {
 			out.Endpoints = append(out.Endpoints, message(now, held))
+			continue
 		}
-		if n := part(held.endpoint.ID); told&(1<<n) == 0 {
-			told |= 1 << n
-			out.Sums = append(out.Sums, &wire.PartSum{Part: uint32(n), Sum: r.digest[n]})
-		}
+		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: Sum(held.endpoint)})
 	}
 	return out
 }
 
-// InParts returns all records of some parts, a bit for each.
-func (r *Registry) InParts(now time.Time, parts uint64) *wire.Reports {
+// Records returns what is known of some endpoints.
+func (r *Registry) Records(now time.Time, ids []string) *wire.Reports {
 	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for e := r.changes.Back(); e != nil; e = e.Prev() {
-		if held := e.Value.(*record); parts&PartBit(held.endpoint.ID) != 0 {
+	for _, id := range ids {
+		if held := r.records[id]; held != nil {
 			out.Endpoints = append(out.Endpoints, message(now, held))
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -276,23 +276,17 @@
 			Expect(other.digest).To(Equal(r.digest))
 		})
 
-		It("tells briefly which parts changed, by sums that one who knows the change has too", func() {
+		It("tells briefly what changed by a sum that one who knows the change has too", func() {
 			before := r.Changed()
 			Expect(r.ChangesBriefly(start, before).Sums).To(BeEmpty())
 			changed := endpoint(id(4), 2, func(e *Endpoint) { e.Addr, e.Leaving = netip.MustParseAddrPort("10.0.0.4:80"), true })
 			r.Hear(start, changed)
 			told := r.ChangesBriefly(start, before)
 			Expect(told.Endpoints).To(BeEmpty())
-			same, differing := known.Compare(told.Sums)
-			Expect(same).To(BeZero())
-			Expect(differing).To(Equal(PartBit(id(4))))
-			Expect(find(r.InParts(start, differing), id(4)).Leaving).To(BeTrue())
-
-			known.Add(endpoint(id(4), 1, func(e *Endpoint) { e.Addr = changed.Addr }))
-			known.Add(changed)
-			same, differing = known.Compare(told.Sums)
-			Expect(same).To(Equal(PartBit(id(4))))
-			Expect(differing).To(BeZero())
+			Expect(told.Sums).To(ConsistOf(And(HaveField("Id", id(4)), HaveField("Sum", Sum(changed)))))
+			changed.Leaving = false
+			Expect(told.Sums[0].Sum).NotTo(Equal(Sum(changed)))
+			Expect(find(r.Records(start, []string{id(4), "unknown"}), id(4)).Leaving).To(BeTrue())
 		})
 
 		It("tells briefly, but whole, what fell silent and what is heard again", func() {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -296,15 +296,22 @@
 		r.Merge(start, reports(report("booking", 4, nil)))
 		brief := r.ChangesBriefly(start, before)
 		lacking := s.Learn(start, "c2", brief)
-		Expect(lacking).To(Equal(registry.PartBit("booking-4")))
+		Expect(lacking).To(ConsistOf("booking-4"))
 		Expect(s.byID).NotTo(HaveKey("booking-4"))
 
 		s.Learn(start, "c1", reports(report("booking", 4, func(m *wire.EndpointReport) { m.Silent = true })))
 		Expect(s.byID["booking-4"].silent).To(BeTrue())
-		Expect(s.Learn(start, "c2", brief)).To(BeZero())
+		Expect(s.Learn(start, "c2", brief)).To(BeEmpty())
 		Expect(s.byID["booking-4"].silent).To(BeFalse(), "c2 knows it and has not called it silent")
 	})
 
+	It("asks for nothing that it knows to have ended, and for all that it takes for living", func() {
+		ended := &wire.Reports{Sums: []*wire.RecordSum{{Id: "booking-1"}, {Id: "stranger"}}}
+		Expect(s.Learn(start, "c2", ended)).To(ConsistOf("booking-1"))
+		s.Learn(start, "c1", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Gone = true })))
+		Expect(s.Learn(start, "c2", ended)).To(BeEmpty())
+	})
+
 	It("has the digest of the control instance that told it all, also of what has ended", func() {
 		r := registry.New(registry.Config{Beat: time.Second}, start)
 		all := reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil))
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -57,8 +57,8 @@
 }
 
 // Learn takes what a control instance, source, reports of endpoints. It returns
-// a bit for each part of them of which that one knows something else.
-func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) (lacking uint64) {
+// the ids of those of which that one knows something else.
+func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) (lacking []string) {
 	heard := s.silentBy[source]
 	if heard == nil {
 		heard = map[string]bool{}
@@ -73,11 +73,33 @@
 		}
 	}
 	s.whole = s.whole || reports.Whole
-	same, lacking := s.digest.Compare(reports.Sums)
-	s.learnSame(heard, same)
+	for _, m := range reports.Sums {
+		if !s.learnSum(heard, m) {
+			lacking = append(lacking, m.Id)
+		}
+	}
 	return lacking
 }
 
+// learnSum takes what a control instance knows of an endpoint by its sum; it
+// reports false where this entry must ask for more.
+func (s *Steerer) learnSum(heard map[string]bool, m *wire.RecordSum) bool {
+	b := s.byID[m.Id]
+	switch {
+	case b == nil:
+		return m.Sum == 0
+	case b.Gone:
+		return true // for good, whatever others know
+	case registry.Sum(b.Endpoint) != m.Sum:
+		return false
+	}
+	if _, said := heard[m.Id]; !said {
+		heard[m.Id] = false
+		s.settleSilence(b)
+	}
+	return true
+}
+
 // learnSame takes that a control instance knows just what this entry knows of
 // some parts of the endpoints: those that it has not called silent it hears.
 func (s *Steerer) learnSame(heard map[string]bool, parts uint64) {
