Tags that two incarnations share stay with the older one; dropped routes are forgotten

Cause, from reading: an entry gave a shared tag to the incarnation whose id comes first, also when the other one had flows open, whose packets then went to the wrong endpoint; and the loser was left without flows even after the holder had been forgotten. The set of routes that a document dropped only grew. Change: the older has the tag, by how often it was heard, so that an entry that has just started decides alike; of two about as old the one whose id comes first. A forgotten holder's tag goes to the other one. Dropped routes are forgotten after a flow's longest life.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -39,6 +39,7 @@
 		Seeds     []netip.AddrPort // peer addresses of control instances
 		MaxFlow   time.Duration    // no flow is older
 		Grace     time.Duration    // a planned stop must end within it
+		Beat      time.Duration    // heartbeat period of endpoints
 		Codec     Codec
 		Log       *log.Logger
 		Now       func() time.Time
@@ -69,7 +70,7 @@
 func NewEntry(c EntryConfig) *Entry {
 	e := &Entry{config: c, fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
 	e.steerer = steer.New(steer.Config{
-		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows,
+		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
 			c.Log.Warn("endpoint suspected", "endpoint", id, "suspect", suspect)
 		},
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -120,8 +120,9 @@
 // putInForce has new flows placed by a document, unless a newer one is in
 // force already.
 func (e *Entry) putInForce(doc *document.Document, confirmed bool) {
+	now := e.config.Now()
 	e.mu.Lock()
-	fresh := e.steerer.SetDocument(doc)
+	fresh := e.steerer.SetDocument(now, doc)
 	e.mu.Unlock()
 	if fresh {
 		e.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", confirmed)
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -29,7 +29,8 @@
 type backend struct {
 	registry.Endpoint
 	tag       uint32
-	part      uint64 // bit of its part of the digest
+	part      uint64    // bit of its part of the digest
+	born      time.Time // about when it started, by how often it was heard since
 	warmUntil time.Time
 	goneAt    time.Time
 	leavingAt time.Time // when this entry learned that it leaves
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -46,11 +46,12 @@
 func (s *Steerer) explainFlow(now time.Time, d *wire.Decision, r *route, p Packet) Reason {
 	d.Action = Forward.String()
 	f := s.flows[flowKey{p.Src, p.Dst}]
+	_, dropped := s.dropped[p.Dst]
 	switch {
 	case s.document == nil:
 		d.Action = Drop.String()
 		return NoTable
-	case r == nil && s.dropped[p.Dst]:
+	case r == nil && dropped:
 		d.Action = Reset.String()
 		return RouteDropped
 	case r == nil:
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -12,7 +12,8 @@
 const (
 	// sweepEvery is how often unanswered and resting flows are looked for.
 	sweepEvery = 20 * time.Millisecond
-	// dropGoneEvery is how often ended incarnations are looked for.
+	// dropGoneEvery is how often ended incarnations, and routes dropped long ago,
+	// are looked for.
 	dropGoneEvery = time.Second
 	// goneFor is how long ago an endpoint must have ended before packets of
 	// its flows are answered by a reset: until then it may still answer.
@@ -28,6 +29,7 @@
 		Domain   string        // failure domain of this entry
 		MaxFlow  time.Duration // no flow is older
 		MaxFlows int           // records of flows that are kept for balance
+		Beat     time.Duration // an endpoint's heartbeat period
 		// Suspected is called when an endpoint is avoided from now on, or no
 		// longer; nil where nobody listens.
 		Suspected func(id string, suspect bool)
@@ -38,7 +40,7 @@
 		config   Config
 		document *document.Document
 		routes   map[netip.AddrPort]*route
-		dropped  map[netip.AddrPort]bool // routes that were in force once
+		dropped  map[netip.AddrPort]time.Time // when a route that was in force went
 		byID     map[string]*backend
 		byTag    map[uint32]*backend
 		pools    map[string][]*backend      // by service
@@ -57,7 +59,7 @@
 // New returns a Steerer that knows nothing yet.
 func New(c Config) *Steerer {
 	return &Steerer{
-		config: c, dropped: map[netip.AddrPort]bool{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
+		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
 		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
 		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(),
 	}
@@ -83,7 +85,7 @@
 // steer sends a packet of an open flow by its tag.
 func (s *Steerer) steer(now time.Time, p Packet) Decision {
 	f := s.flows[flowKey{p.Src, p.Dst}]
-	if s.dropped[p.Dst] {
+	if _, dropped := s.dropped[p.Dst]; dropped {
 		s.end(f)
 		return Decision{Action: Reset, Reason: RouteDropped, Seq: p.Ack}
 	}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -26,7 +26,7 @@
 
 // SetDocument puts a document in force; an older one than that in force
 // changes nothing. It reports whether it is in force now for the first time.
-func (s *Steerer) SetDocument(d *document.Document) bool {
+func (s *Steerer) SetDocument(now time.Time, d *document.Document) bool {
 	if s.document != nil && d.Version() <= s.document.Version() {
 		return false
 	}
@@ -41,7 +41,7 @@
 	}
 	for addr := range s.routes {
 		if routes[addr] == nil {
-			s.dropped[addr] = true
+			s.dropped[addr] = now
 		}
 	}
 	s.document, s.routes = d, routes
@@ -145,7 +145,7 @@
 	case b == nil && e.Gone && !e.Addr.IsValid():
 		return
 	case b == nil:
-		b = &backend{Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID)}
+		b = &backend{Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID), born: now.Add(-time.Duration(e.Sequence) * s.config.Beat)}
 		s.byID[e.ID] = b
 		s.pools[e.Service] = append(s.pools[e.Service], b)
 		s.settleTag(b)
@@ -167,15 +167,14 @@
 	b.warmUntil = now.Add(e.Warm)
 }
 
-// settleTag gives the tag to one of the incarnations that hash to it: the one
-// whose id comes first, so that all entries decide alike. The others get no
-// flows.
+// settleTag gives the tag to one of the incarnations that hash to it, so that
+// all entries decide alike. The others get no flows.
 func (s *Steerer) settleTag(b *backend) {
 	first := s.byTag[b.tag]
 	switch {
 	case first == nil:
 		s.byTag[b.tag] = b
-	case first.ID < b.ID:
+	case s.before(first, b):
 		b.shadowed = true
 	default:
 		first.shadowed = true
@@ -183,6 +182,33 @@
 	}
 }
 
+// before reports whether a has a tag before b: the older one, since flows of its
+// own are open; where they are about as old, the one whose id comes first. An
+// entry that has just started tells their age by their sequences, as others have
+// seen it themselves.
+func (s *Steerer) before(a, b *backend) bool {
+	const unsureBeats = 10 // entries learn of an endpoint within a few
+	if unsure := unsureBeats * s.config.Beat; a.born.Sub(b.born).Abs() > unsure {
+		return a.born.Before(b.born)
+	}
+	return a.ID < b.ID
+}
+
+// freeTag gives the tag of a forgotten incarnation to another one that hashes to
+// it, if there is one.
+func (s *Steerer) freeTag(forgotten *backend) {
+	if s.byTag[forgotten.tag] != forgotten {
+		return
+	}
+	delete(s.byTag, forgotten.tag)
+	for _, b := range s.byID {
+		if b.tag == forgotten.tag {
+			b.shadowed = false
+			s.settleTag(b)
+		}
+	}
+}
+
 // settleSilence works out whether an endpoint is silent to all that know it.
 func (s *Steerer) settleSilence(b *backend) {
 	known, silent := 0, 0
@@ -197,18 +223,21 @@
 	b.silent = known > 0 && known == silent
 }
 
-// dropGone forgets incarnations that ended so long ago that no flow of theirs
-// can be left.
+// dropGone forgets incarnations that ended, and routes that were dropped, so
+// long ago that no flow of theirs can be left.
 func (s *Steerer) dropGone(now time.Time) {
+	for addr, at := range s.dropped {
+		if now.Sub(at) >= s.config.MaxFlow {
+			delete(s.dropped, addr)
+		}
+	}
 	for id, b := range s.byID {
 		if !b.Gone || now.Sub(b.goneAt) < s.config.MaxFlow {
 			continue
 		}
 		delete(s.byID, id)
 		s.digest.Add(b.Endpoint)
-		if s.byTag[b.tag] == b {
-			delete(s.byTag, b.tag)
-		}
+		s.freeTag(b)
 		for _, heard := range s.silentBy {
 			delete(heard, id)
 		}
