--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -4,8 +4,6 @@
 package explain
 
 import (
-	"slices"
-	"sync"
 	"time"
 
 	"oxbowsaddle/internal/flow"
@@ -13,43 +11,6 @@
 	"oxbowsaddle/internal/work"
 )
 
-// Ring holds the last decisions.
-type Ring struct {
-	mu        sync.Mutex
-	decisions []*wire.Decision
-	next      int
-}
-
-// NewRing returns a ring of a size.
-func NewRing(size int) *Ring { return &Ring{decisions: make([]*wire.Decision, size)} }
-
-// Add keeps a decision and lets the oldest go.
-func (r *Ring) Add(d *wire.Decision) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.decisions[r.next] = d
-	r.next = (r.next + 1) % len(r.decisions)
-}
-
-// Find returns the newest decisions that match, at most so many, in the order
-// in which they were taken.
-func (r *Ring) Find(most int, match func(*wire.Decision) bool) []*wire.Decision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var found []*wire.Decision
-	for i := range r.decisions {
-		d := r.decisions[(r.next-1-i+2*len(r.decisions))%len(r.decisions)]
-		if d == nil || len(found) == most {
-			break
-		}
-		if match(d) {
-			found = append(found, d)
-		}
-	}
-	slices.Reverse(found)
-	return found
-}
-
 // KeepsAlways reports whether every decision of this kind is kept.
 func KeepsAlways(v flow.Verdict) bool {
 	return v.Action() != flow.Forward
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -16,7 +16,7 @@
 // they were taken, also once the ring has gone round.
 func TestFindKeepsTheOrder(t *testing.T) {
 	g := gomega.NewWithT(t)
-	ring := explain.NewRing(4)
+	ring := explain.NewRing[*wire.Decision](4)
 	for i := range 6 {
 		ring.Add(&wire.Decision{Subject: "s", Action: strconv.Itoa(i)})
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"oxbowsaddle/internal/flow"
 	"oxbowsaddle/internal/settings"
 	"oxbowsaddle/internal/telemetry"
+	"oxbowsaddle/internal/wire"
 )
 
 type (
@@ -45,7 +46,7 @@
 		now      func() time.Time
 		counters *telemetry.Counters
 		tracer   *telemetry.Tracer
-		ring     *explain.Ring
+		ring     *explain.Ring[*wire.Decision]
 		view     atomic.Pointer[flow.View]
 		traffic  *traffic
 		control  *controlLoop
@@ -71,7 +72,7 @@
 	}
 	i := &Instance{
 		config: c, self: self, log: c.Log, now: c.Now, counters: telemetry.NewCounters(),
-		ring: explain.NewRing(c.Settings.Limits.Decisions), done: make(chan struct{}),
+		ring: explain.NewRing[*wire.Decision](c.Settings.Limits.Decisions), done: make(chan struct{}),
 	}
 	i.view.Store(&flow.View{Table: emptyTable})
 	i.budget = newBudget(c.Settings.Limits, i.counters)
