An entry keeps its last decisions for operators; timings of decisions, orders, leaves and syncs

Change: the last 2,048 decisions that did not just steer a packet stay in a ring, as values without an allocation; why flow tells those on the flow before where it is now, why refused the last 20 packets that were reset or dropped. Quantiles of a bounded sample: an entry's decisions (one in 16) and the lag of documents, a control instance's orders, leaves and syncs; the length of its queue. The test that expected one decision of why flow now expects the kept ones before it.

--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -77,8 +77,12 @@
 	return reply, nil
 }
 
-// Why explains a flow.
+// Why tells the kept decisions on a flow and where it is now, or the last packets
+// that were refused.
 func (a *entryAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
+	if r.Matter == "refused" {
+		return &wire.WhyReply{Decisions: a.signed(a.entry.kept.refused())}, nil
+	}
 	if r.Matter != "flow" {
 		return &wire.WhyReply{Lines: []string{"an entry of this fabric explains flows; look for what was " + r.Matter + " in its log lines"}}, nil
 	}
@@ -93,10 +97,18 @@
 	e := a.entry
 	now := e.config.Now()
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	d := e.steerer.Explain(now, src, dst)
-	d.Entry, d.UnixNano = e.config.Name, time.Now().UnixNano() // the steady clock tells no time of day
-	return &wire.WhyReply{Decisions: []*wire.Decision{d}}, nil
+	e.mu.Unlock()
+	d.UnixNano = time.Now().UnixNano() // the steady clock tells no time of day
+	return &wire.WhyReply{Decisions: a.signed(append(e.kept.flow(src, dst), d))}, nil
+}
+
+// signed names this entry in its decisions.
+func (a *entryAnswers) signed(decisions []*wire.Decision) []*wire.Decision {
+	for _, d := range decisions {
+		d.Entry = a.entry.config.Name
+	}
+	return decisions
 }
 
 // Stats returns the entry's figures.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -46,6 +46,7 @@
 		documents notifier
 		endpoints *endpointList
 		entries   *entryList
+		timings   controlTimings
 		peers     *peerLinks
 
 		// Owned by loop.
@@ -61,7 +62,7 @@
 func NewControl(c ControlConfig) *Control {
 	const queue = 256
 	control := &Control{
-		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), entries: newEntryList(c.Now), waiting: map[uint64]chan bool{},
+		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), entries: newEntryList(c.Now), timings: newControlTimings(), waiting: map[uint64]chan bool{},
 	}
 	control.status.Store(&madeStatus{})
 	control.published.Store(&published{})
@@ -131,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.persist(ready); err != nil {
+	if err := c.persistTimed(ready); err != nil {
 		return err
 	}
 	for _, m := range ready.Log.Messages {
@@ -147,6 +148,17 @@
 	return nil
 }
 
+// persistTimed persists and takes the time where there is something to write.
+func (c *Control) persistTimed(ready directory.Ready) error {
+	if ready.Log.Record == nil && ready.Log.Snapshot == nil {
+		return c.persist(ready)
+	}
+	began := c.config.Now()
+	err := c.persist(ready)
+	observeSince(c.timings.sync, c.config.Now, began, err)
+	return err
+}
+
 // answer tells whoever waits for a proposal whether it is committed.
 func (c *Control) answer(index uint64, committed bool) {
 	if w := c.waiting[index]; w != nil {
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -29,8 +29,11 @@
 	}
 }
 
-// WriteMetrics writes the entry's counters and gauges, a line each.
-func (e *Entry) WriteMetrics(w io.Writer) { writeFigures(w, e.figures()) }
+// WriteMetrics writes the entry's counters, gauges and timings, a line each.
+func (e *Entry) WriteMetrics(w io.Writer) {
+	writeFigures(w, e.figures())
+	e.timings.writeText(w)
+}
 
 // figures returns the entry's counters and gauges.
 func (e *Entry) figures() []figure {
@@ -51,8 +54,11 @@
 	)
 }
 
-// WriteMetrics writes the control instance's gauges, a line each.
-func (c *Control) WriteMetrics(w io.Writer) { writeFigures(w, c.figures()) }
+// WriteMetrics writes the control instance's gauges and timings, a line each.
+func (c *Control) WriteMetrics(w io.Writer) {
+	writeFigures(w, c.figures())
+	c.timings.writeText(w)
+}
 
 // figures returns the control instance's gauges.
 func (c *Control) figures() []figure {
@@ -66,6 +72,7 @@
 		{"oxbowsaddle_log_commit", s.Commit},
 		{"oxbowsaddle_log_current", current},
 		{"oxbowsaddle_voters", uint64(len(s.Voters))},
+		{"oxbowsaddle_calls_waiting", uint64(len(c.calls))},
 		{"oxbowsaddle_entries", uint64(c.entries.count())},
 		{"oxbowsaddle_document_version", s.Version},
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -52,6 +52,8 @@
 		confirmed atomic.Bool
 		stopping  atomic.Bool
 		counts    packetCounts
+		kept      *keptRing
+		timings   entryTimings
 
 		mu      sync.Mutex
 		steerer *steer.Steerer
@@ -63,12 +65,13 @@
 		// Owned by packetLoop.
 		flowLines *rate.Limiter
 		leftOut   uint64 // lines about flows, since the last one
+		untimed   int    // packets since the last decision whose time was taken
 	}
 )
 
 // NewEntry returns an entry that does not run yet.
 func NewEntry(c EntryConfig) *Entry {
-	e := &Entry{config: c, fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
+	e := &Entry{config: c, kept: newKeptRing(), timings: newEntryTimings(), fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
--- a/internal/node/fetch.go
+++ b/internal/node/fetch.go
@@ -20,12 +20,25 @@
 	offers  map[string]uint64 // version by control instance
 	asked   string            // the control instance that has not answered yet, "" for none
 	askedAt time.Time
+	offered time.Time // when the newest version was first offered
+	newest  uint64
 }
 
 func newFetch() *fetch { return &fetch{offers: map[string]uint64{}} }
 
 // offer notes which version a control instance has in force.
-func (f *fetch) offer(source string, version uint64) { f.offers[source] = version }
+func (f *fetch) offer(now time.Time, source string, version uint64) {
+	f.offers[source] = version
+	if version > f.newest {
+		f.newest, f.offered = version, now
+	}
+}
+
+// lag returns how long ago a version was first offered; it reports false where
+// a newer one was since.
+func (f *fetch) lag(now time.Time, version uint64) (time.Duration, bool) {
+	return now.Sub(f.offered), version == f.newest && !f.offered.IsZero()
+}
 
 // lost notes that a control instance is out of reach.
 func (f *fetch) lost(source string) {
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -58,8 +58,9 @@
 // takeOffer notes which version a control instance has in force, and asks for
 // it where it is newer than the one held.
 func (e *Entry) takeOffer(source string, offer *wire.DocumentOffer) {
+	now := e.config.Now()
 	e.mu.Lock()
-	e.fetch.offer(source, offer.Version)
+	e.fetch.offer(now, source, offer.Version)
 	held := e.held
 	e.mu.Unlock()
 	if offer.Confirmed && held != nil && held.Version() >= offer.Version {
@@ -123,7 +124,11 @@
 	now := e.config.Now()
 	e.mu.Lock()
 	fresh := e.steerer.SetDocument(now, doc)
+	lag, known := e.fetch.lag(now, doc.Version())
 	e.mu.Unlock()
+	if fresh && known {
+		e.timings.lag.Observe(lag)
+	}
 	if fresh {
 		e.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", confirmed)
 	}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -28,7 +28,10 @@
 func (c *Control) Put(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
-	return c.atLeader(ctx, func() (string, error) { return c.putHere(ctx, doc) })
+	began := c.config.Now()
+	elsewhere, err = c.atLeader(ctx, func() (string, error) { return c.putHere(ctx, doc) })
+	observeSince(c.timings.order, c.config.Now, began, err)
+	return elsewhere, err
 }
 
 // atLeader asks until this instance or another one leads.
@@ -142,5 +145,8 @@
 			others = append(others, directory.AddressOf(id))
 		}
 	}
-	return c.endpoints.await(ctx, number, others, enough)
+	began := c.config.Now()
+	err := c.endpoints.await(ctx, number, others, enough)
+	observeSince(c.timings.leaving, c.config.Now, began, err)
+	return err
 }
--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -54,6 +54,7 @@
 	e.mu.Lock()
 	d := e.steerer.Decide(now, p)
 	e.mu.Unlock()
+	e.timeDecision(now)
 	e.counts.add(d)
 	switch d.Action {
 	case steer.Forward:
@@ -66,13 +67,22 @@
 	e.logDecision(now, p, d)
 }
 
-// logDecision writes a line for each flow that is opened or is not just
-// steered: what complaints ask for. Lines beyond the rate are left out, and
-// the next one says how many.
+// timeDecision takes the time of one decision in timeOneIn.
+func (e *Entry) timeDecision(began time.Time) {
+	if e.untimed++; e.untimed >= timeOneIn {
+		e.untimed = 0
+		e.timings.decision.Observe(e.config.Now().Sub(began))
+	}
+}
+
+// logDecision keeps what complaints ask for, and writes a line for it: each
+// flow that is opened or is not just steered. Lines beyond the rate are left
+// out, and the next one says how many.
 func (e *Entry) logDecision(now time.Time, p steer.Packet, d steer.Decision) {
-	if d.Reason == steer.Steered || d.Reason == steer.Corrected {
+	if !keeps(d) {
 		return
 	}
+	e.kept.add(time.Now(), p, d) // operators ask by the time of day
 	if !e.flowLines.AllowN(now, 1) {
 		e.leftOut++
 		return
--- /dev/null
+++ b/internal/node/timings.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"io"
+	"time"
+
+	"oxbowsaddle/internal/telemetry"
+)
+
+// timeOneIn is how many packets come on each decision whose time is taken: two
+// looks at the clock cost about as much as the decision.
+const timeOneIn = 16
+
+type (
+	// entryTimings is what an entry measures of itself.
+	entryTimings struct {
+		decision *telemetry.Timing // of a packet, one in timeOneIn
+		lag      *telemetry.Timing // from the offer of a document to when it is in force
+	}
+
+	// controlTimings is what a control instance measures of itself.
+	controlTimings struct {
+		order   *telemetry.Timing // from an order to its acknowledgement here
+		leaving *telemetry.Timing // from a leave to its acknowledgement here
+		sync    *telemetry.Timing // of a batch of the log
+	}
+)
+
+func newEntryTimings() entryTimings {
+	return entryTimings{
+		decision: telemetry.NewTiming("oxbowsaddle_decision_seconds"),
+		lag:      telemetry.NewTiming("oxbowsaddle_document_lag_seconds"),
+	}
+}
+
+func newControlTimings() controlTimings {
+	return controlTimings{
+		order:   telemetry.NewTiming("oxbowsaddle_order_seconds"),
+		leaving: telemetry.NewTiming("oxbowsaddle_leave_seconds"),
+		sync:    telemetry.NewTiming("oxbowsaddle_sync_seconds"),
+	}
+}
+
+func (t entryTimings) writeText(w io.Writer) {
+	t.decision.WriteText(w)
+	t.lag.WriteText(w)
+}
+
+func (t controlTimings) writeText(w io.Writer) {
+	t.order.WriteText(w)
+	t.leaving.WriteText(w)
+	t.sync.WriteText(w)
+}
+
+// observeSince adds the time since began if it went well: what fails is counted
+// by its callers.
+func observeSince(t *telemetry.Timing, now func() time.Time, began time.Time, err error) {
+	if err == nil {
+		t.Observe(now().Sub(began))
+	}
+}
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -13,6 +13,9 @@
 // nextSteps tells an operator what to do about a decision.
 var nextSteps = [ReasonCount]string{
 	Placed:       "nothing: this is where a new flow goes",
+	Repeated:     "nothing, if it is rare: the first packet or its answer was lost; else look at the endpoint",
+	UnknownTag:   "nothing: the caller opens another flow; where it lasts, see whether this entry reaches the control instances",
+	Malformed:    "look at who sends it",
 	Steered:      "nothing: every packet of the flow names its endpoint",
 	Corrected:    "nothing: two endpoints answered, and the flow stays with the first that its caller took",
 	Replaced:     "look at the endpoint that did not answer",
@@ -28,7 +31,7 @@
 // that the route leads to why it was chosen or passed over.
 func (s *Steerer) Explain(now time.Time, src, dst netip.AddrPort) *wire.Decision {
 	d := &wire.Decision{
-		UnixNano: now.UnixNano(), Subject: src.String() + " " + dst.String(), Index: s.Version(), Active: s.Version(),
+		UnixNano: now.UnixNano(), Subject: Subject(src, dst), Index: s.Version(), Active: s.Version(),
 	}
 	r := s.routes[dst]
 	if r != nil {
