The registry's reports and what it merges are files of their own

Cause: registry.go held the records, what is told to whom and what peers tell, near 400 lines; two loops over the lists were the same but for their number. Done: reports.go tells, merge.go takes what peers tell; one walk over a list serves all reports; fields of a record say which number they hold.

--- /dev/null
+++ b/internal/registry/merge.go
@@ -0,0 +1,38 @@
+package registry
+
+import (
+	"time"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// Merge takes the reports of another control instance. A report that an
+// incarnation is gone stands, whatever its sequence.
+func (r *Registry) Merge(now time.Time, reports *wire.Reports) {
+	for _, m := range reports.Endpoints {
+		e := FromMessage(m)
+		if e.Gone {
+			r.leave(now, e)
+			continue
+		}
+		age := time.Duration(m.AgeNanos)
+		e.Warm += age
+		r.hear(now, e, age)
+	}
+	for _, b := range reports.Beats {
+		r.mergeBeat(now, b)
+	}
+}
+
+// mergeBeat takes the heartbeat of an endpoint that is known; of another one
+// the peer tells more when it tells all, on its next link.
+func (r *Registry) mergeBeat(now time.Time, b *wire.Beat) {
+	held := r.records[b.Id]
+	if held == nil {
+		return
+	}
+	e, age := held.endpoint, time.Duration(b.AgeNanos)
+	e.Sequence = b.Sequence
+	e.Warm = max(0, e.Warm-now.Add(-age).Sub(held.heard))
+	r.hear(now, e, age)
+}
--- /dev/null
+++ b/internal/registry/merge_test.go
@@ -0,0 +1,56 @@
+package registry
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/wire"
+)
+
+var _ = Describe("a Registry that hears of another one", func() {
+	var r *Registry
+	BeforeEach(func() { r = New(Config{Beat: beat}, start) })
+
+	It("does not take the living one for ended when it hears late of its predecessor", func() {
+		now := start.Add(10 * beat)
+		r.Hear(now, endpoint("b", 1, nil))
+		r.Merge(now, &wire.Reports{Endpoints: []*wire.EndpointReport{
+			{Id: "a", Sequence: 9, Address: "10.0.0.1:80", AgeNanos: int64(5 * beat)},
+		}})
+		Expect(find(r.Changes(now, 0), "a").Gone).To(BeTrue())
+		Expect(find(r.Changes(now, 0), "b").Gone).To(BeFalse())
+	})
+
+	It("counts the age that a peer tells", func() {
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{
+			{Id: "a", Sequence: 1, Address: "10.0.0.1:80", AgeNanos: int64(3 * beat), WarmNanos: int64(beat)},
+		}})
+		r.Sweep(start)
+		m := find(r.Changes(start, 0), "a")
+		Expect(m.Silent).To(BeTrue())
+		Expect(time.Duration(m.WarmNanos)).To(Equal(beat), "it was counted off by the sender already")
+	})
+
+	It("tells peers on of a change that a peer told of, not of a heartbeat", func() {
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: "a", Sequence: 1, Address: "10.0.0.1:80"}}})
+		first := r.Beats(start, 0)
+		Expect(first.Endpoints).To(HaveLen(1))
+		r.Merge(start, &wire.Reports{Beats: []*wire.Beat{{Id: "a", Sequence: 2}}})
+		again := r.Beats(start, first.Number)
+		Expect(again.Endpoints).To(BeEmpty())
+		Expect(again.Beats).To(BeEmpty())
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: "a", Sequence: 3, Address: "10.0.0.1:80", Leaving: true}}})
+		Expect(r.Beats(start, again.Number).Endpoints).To(HaveLen(1))
+	})
+
+	It("does not take a heartbeat for one that is unknown or has ended", func() {
+		r.Merge(start, &wire.Reports{Beats: []*wire.Beat{{Id: "stranger", Sequence: 2}}})
+		Expect(r.Len()).To(BeZero())
+		r.Hear(start, endpoint("a", 1, nil))
+		r.Leave(start, "a")
+		r.Merge(start, &wire.Reports{Beats: []*wire.Beat{{Id: "a", Sequence: 2}}})
+		Expect(find(r.Changes(start, 0), "a").Gone).To(BeTrue())
+	})
+})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,8 +9,6 @@
 	"container/list"
 	"net/netip"
 	"time"
-
-	"oxbowsaddle/internal/wire"
 )
 
 const (
@@ -60,15 +58,15 @@
 
 	// record is what is known of one incarnation.
 	record struct {
-		endpoint Endpoint
-		heard    time.Time
-		silent   bool
-		counted  Endpoint // as the registry's digest has it
-		changed  uint64   // number of the last change that entries must know
-		turned   uint64   // number of the last change that was about silence
-		beaten   uint64   // number of the last heartbeat or change that peers must know
-		inChanges,
-		inBeats *list.Element
+		endpoint       Endpoint
+		heard          time.Time
+		silent         bool
+		summed         Endpoint      // as the registry's digest has it
+		changed        uint64        // number of the last change that entries must know
+		silenceChanged uint64        // number of the last change that was about silence
+		peersChanged   uint64        // number of the last heartbeat or change that peers must know
+		inChanges      *list.Element // of Registry.changes
+		inBeats        *list.Element // of Registry.beats
 	}
 )
 
@@ -85,7 +83,7 @@
 func (r *Registry) Hear(now time.Time, e Endpoint) (uint64, bool) {
 	number, taken := r.hear(now, e, 0)
 	if taken {
-		r.beat(r.records[e.ID])
+		r.noteForPeers(r.records[e.ID])
 	}
 	return number, taken
 }
@@ -95,7 +93,7 @@
 func (r *Registry) hear(now time.Time, e Endpoint, age time.Duration) (uint64, bool) {
 	held := r.records[e.ID]
 	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
-		return max(held.changed, held.beaten), false
+		return max(held.changed, held.peersChanged), false
 	}
 	heard := now.Add(-age)
 	if r.supersede(now, e, heard) {
@@ -108,7 +106,7 @@
 		r.records[e.ID] = held
 	}
 	if held.silent {
-		held.turned = r.number
+		held.silenceChanged = r.number
 	}
 	held.endpoint, held.silent = e, false
 	if heard.After(held.heard) {
@@ -116,8 +114,8 @@
 	}
 	r.settle(held)
 	if changed {
-		r.beat(held)
-		r.change(now, held)
+		r.noteForPeers(held)
+		r.noteForEntries(now, held)
 	}
 	return r.number, true
 }
@@ -159,9 +157,9 @@
 	}
 }
 
-// beat notes that peers must learn of the record.
-func (r *Registry) beat(held *record) {
-	held.beaten = r.number
+// noteForPeers notes that peers must learn of the record.
+func (r *Registry) noteForPeers(held *record) {
+	held.peersChanged = r.number
 	held.inBeats = toBack(r.beats, held.inBeats, held)
 }
 
@@ -179,17 +177,17 @@
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
 	r.settle(held)
-	r.beat(held)
-	r.change(now, held)
+	r.noteForPeers(held)
+	r.noteForEntries(now, held)
 }
 
-// change notes that entries must learn of the record.
-func (r *Registry) change(now time.Time, held *record) {
+// noteForEntries notes that entries must learn of the record, and keeps the digest.
+func (r *Registry) noteForEntries(now time.Time, held *record) {
 	held.changed = r.number
 	held.inChanges = toBack(r.changes, held.inChanges, held)
-	r.digest.Add(held.counted)
-	held.counted = held.endpoint
-	r.digest.Add(held.counted)
+	r.digest.Add(held.summed)
+	held.summed = held.endpoint
+	r.digest.Add(held.summed)
 	if r.config.Changed != nil {
 		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
 	}
@@ -228,18 +226,19 @@
 		}
 		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
 			r.number++
-			held.silent, held.turned = quiet, r.number
-			r.change(now, held)
+			held.silent, held.silenceChanged = quiet, r.number
+			r.noteForEntries(now, held)
 		}
 	}
 }
 
+// forget drops a record that nothing needs.
 func (r *Registry) forget(id string, held *record) {
 	delete(r.records, id)
 	if r.living[held.endpoint.Addr] == held {
 		delete(r.living, held.endpoint.Addr)
 	}
-	r.digest.Add(held.counted)
+	r.digest.Add(held.summed)
 	r.changes.Remove(held.inChanges)
 	r.beats.Remove(held.inBeats)
 }
@@ -260,122 +259,3 @@
 
 // Len returns how many incarnations are known, gone ones included.
 func (r *Registry) Len() int { return len(r.records) }
-
-// Changes returns the records that changed after a number, for an entry, the
-// last one first. Its work grows with their number, not with that of all.
-func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
-	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for e := r.changes.Back(); e != nil && e.Value.(*record).changed > after; e = e.Prev() {
-		out.Endpoints = append(out.Endpoints, message(now, e.Value.(*record)))
-	}
-	return out
-}
-
-// ChangesBriefly returns what has changed after a number for an entry that
-// another control instance tells every record: only sums, but what says of an
-// endpoint that it fell silent, or no longer is, whole, since that is this
-// registry's own view.
-func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
-	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for e := r.changes.Back(); e != nil && e.Value.(*record).changed > after; e = e.Prev() {
-		held := e.Value.(*record)
-		if held.turned > after {
-			out.Endpoints = append(out.Endpoints, message(now, held))
-			continue
-		}
-		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: Sum(held.endpoint)})
-	}
-	return out
-}
-
-// Records returns what is known of some endpoints.
-func (r *Registry) Records(now time.Time, ids []string) *wire.Reports {
-	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for _, id := range ids {
-		if held := r.records[id]; held != nil {
-			out.Endpoints = append(out.Endpoints, message(now, held))
-		}
-	}
-	return out
-}
-
-// Lacking returns the records that an entry lacks which knows what its digest
-// says: the parts on which both differ, and of the others what is silent.
-func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
-	out := &wire.Reports{Number: r.number, Whole: r.Whole(now), Same: r.digest.same(&known)}
-	for e := r.changes.Back(); e != nil; e = e.Prev() {
-		if held := e.Value.(*record); held.silent || out.Same&PartBit(held.endpoint.ID) == 0 {
-			out.Endpoints = append(out.Endpoints, message(now, held))
-		}
-	}
-	return out
-}
-
-// Beats returns what was heard of after a number, for a peer that was told all
-// up to that number: the records that changed, and of the others only that they
-// were heard. That suffices since an incarnation never takes back that it leaves,
-// and nothing else of it changes. Its work grows with their number, not with that of all.
-func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
-	out := &wire.Reports{Number: r.number, Whole: r.Whole(now)}
-	for e := r.beats.Back(); e != nil && e.Value.(*record).beaten > after; e = e.Prev() {
-		held := e.Value.(*record)
-		if held.changed > after {
-			out.Endpoints = append(out.Endpoints, message(now, held))
-			continue
-		}
-		out.Beats = append(out.Beats, &wire.Beat{
-			Id: held.endpoint.ID, Sequence: held.endpoint.Sequence, AgeNanos: int64(now.Sub(held.heard)),
-		})
-	}
-	return out
-}
-
-// message returns a record as it travels; its times count from now.
-func message(now time.Time, held *record) *wire.EndpointReport {
-	e, age := held.endpoint, now.Sub(held.heard)
-	return &wire.EndpointReport{
-		Id: e.ID, Number: e.Number, Service: e.Service, Address: e.Addr.String(), Domain: e.Domain, Slots: uint32(e.Slots),
-		Leaving: e.Leaving, Gone: e.Gone, WarmNanos: int64(max(0, e.Warm-age)), Sequence: e.Sequence,
-		AgeNanos: int64(age), Silent: held.silent,
-	}
-}
-
-// FromMessage returns the endpoint of a report; Warm counts from now.
-func FromMessage(m *wire.EndpointReport) Endpoint {
-	addr, _ := netip.ParseAddrPort(m.Address) // not valid for one that was heard of only as gone
-	return Endpoint{
-		ID: m.Id, Number: m.Number, Service: m.Service, Addr: addr, Domain: m.Domain, Slots: int(m.Slots),
-		Leaving: m.Leaving, Gone: m.Gone, Warm: time.Duration(m.WarmNanos), Sequence: m.Sequence,
-	}
-}
-
-// Merge takes the reports of another control instance. A report that an
-// incarnation is gone stands, whatever its sequence.
-func (r *Registry) Merge(now time.Time, reports *wire.Reports) {
-	for _, m := range reports.Endpoints {
-		e := FromMessage(m)
-		if e.Gone {
-			r.leave(now, e)
-			continue
-		}
-		age := time.Duration(m.AgeNanos)
-		e.Warm += age
-		r.hear(now, e, age)
-	}
-	for _, b := range reports.Beats {
-		r.mergeBeat(now, b)
-	}
-}
-
-// mergeBeat takes the heartbeat of an endpoint that is known; of another one
-// the peer tells more when it tells all, on its next link.
-func (r *Registry) mergeBeat(now time.Time, b *wire.Beat) {
-	held := r.records[b.Id]
-	if held == nil {
-		return
-	}
-	e, age := held.endpoint, time.Duration(b.AgeNanos)
-	e.Sequence = b.Sequence
-	e.Warm = max(0, e.Warm-now.Add(-age).Sub(held.heard))
-	r.hear(now, e, age)
-}
--- /dev/null
+++ b/internal/registry/reports.go
@@ -0,0 +1,125 @@
+package registry
+
+import (
+	"container/list"
+	"iter"
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// Changes returns the records that changed after a number, for an entry, the
+// last one first. Its work grows with their number, not with that of all.
+func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
+	out := r.emptyReports(now)
+	for held := range r.changedAfter(after) {
+		out.Endpoints = append(out.Endpoints, message(now, held))
+	}
+	return out
+}
+
+// ChangesBriefly returns what has changed after a number for an entry that
+// another control instance tells every record: only sums, but what says of an
+// endpoint that it fell silent, or no longer is, whole, since that is this
+// registry's own view.
+func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
+	out := r.emptyReports(now)
+	for held := range r.changedAfter(after) {
+		if held.silenceChanged > after {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+			continue
+		}
+		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: Sum(held.endpoint)})
+	}
+	return out
+}
+
+// Records returns what is known of some endpoints.
+func (r *Registry) Records(now time.Time, ids []string) *wire.Reports {
+	out := r.emptyReports(now)
+	for _, id := range ids {
+		if held := r.records[id]; held != nil {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+	}
+	return out
+}
+
+// Lacking returns the records that an entry lacks which knows what its digest
+// says: the parts on which both differ, and of the others what is silent.
+func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
+	out := r.emptyReports(now)
+	out.Same = r.digest.same(&known)
+	for held := range r.changedAfter(0) {
+		if held.silent || out.Same&PartBit(held.endpoint.ID) == 0 {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		}
+	}
+	return out
+}
+
+// Beats returns what was heard of after a number, for a peer that was told all
+// up to that number: the records that changed, and of the others only that they
+// were heard. That suffices since an incarnation never takes back that it leaves,
+// and nothing else of it changes. Its work grows with their number, not with that of all.
+func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
+	out := r.emptyReports(now)
+	for held := range r.heardAfter(after) {
+		if held.changed > after {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+			continue
+		}
+		out.Beats = append(out.Beats, &wire.Beat{
+			Id: held.endpoint.ID, Sequence: held.endpoint.Sequence, AgeNanos: int64(now.Sub(held.heard)),
+		})
+	}
+	return out
+}
+
+// emptyReports returns reports that tell of no endpoint yet.
+func (r *Registry) emptyReports(now time.Time) *wire.Reports {
+	return &wire.Reports{Number: r.number, Whole: r.Whole(now)}
+}
+
+// changedAfter goes through the records that changed after a number, the last
+// one first.
+func (r *Registry) changedAfter(after uint64) iter.Seq[*record] {
+	return lastFirst(r.changes, func(held *record) bool { return held.changed > after })
+}
+
+// heardAfter goes through the records that were heard or changed after a number,
+// the last one first.
+func (r *Registry) heardAfter(after uint64) iter.Seq[*record] {
+	return lastFirst(r.beats, func(held *record) bool { return held.peersChanged > after })
+}
+
+// lastFirst goes through a list from its back as long as the records are wanted.
+func lastFirst(l *list.List, wanted func(*record) bool) iter.Seq[*record] {
+	return func(yield func(*record) bool) {
+		for e := l.Back(); e != nil; e = e.Prev() {
+			if held := e.Value.(*record); !wanted(held) || !yield(held) {
+				return
+			}
+		}
+	}
+}
+
+// message returns a record as it travels; its times count from now.
+func message(now time.Time, held *record) *wire.EndpointReport {
+	e, age := held.endpoint, now.Sub(held.heard)
+	return &wire.EndpointReport{
+		Id: e.ID, Number: e.Number, Service: e.Service, Address: e.Addr.String(), Domain: e.Domain, Slots: uint32(e.Slots),
+		Leaving: e.Leaving, Gone: e.Gone, WarmNanos: int64(max(0, e.Warm-age)), Sequence: e.Sequence,
+		AgeNanos: int64(age), Silent: held.silent,
+	}
+}
+
+// FromMessage returns the endpoint of a report; Warm counts from now.
+func FromMessage(m *wire.EndpointReport) Endpoint {
+	addr, _ := netip.ParseAddrPort(m.Address) // not valid for one that was heard of only as gone
+	return Endpoint{
+		ID: m.Id, Number: m.Number, Service: m.Service, Addr: addr, Domain: m.Domain, Slots: int(m.Slots),
+		Leaving: m.Leaving, Gone: m.Gone, Warm: time.Duration(m.WarmNanos), Sequence: m.Sequence,
+	}
+}
--- /dev/null
+++ b/internal/registry/reports_test.go
@@ -0,0 +1,162 @@
+package registry
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("what a Registry tells", func() {
+	var r *Registry
+	BeforeEach(func() { r = New(Config{Beat: beat}, start) })
+
+	It("tells entries of what is new, not of every heartbeat", func() {
+		r.Hear(start, endpoint("a", 1, nil))
+		first := r.Changes(start, 0)
+		Expect(first.Endpoints).To(HaveLen(1))
+		r.Hear(start.Add(beat), endpoint("a", 2, nil))
+		Expect(r.Changes(start, first.Number).Endpoints).To(BeEmpty())
+		Expect(r.Beats(start, first.Number).Beats).To(HaveLen(1), "peers must know that it was heard")
+	})
+
+	It("tells a change with work that does not grow with the number of endpoints", func() {
+		work := func(endpoints int) float64 {
+			r := New(Config{Beat: beat}, start)
+			for n := range endpoints {
+				addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 80)
+				r.Hear(start, endpoint(fmt.Sprint(n), 1, func(e *Endpoint) { e.Addr = addr }))
+			}
+			before := r.Changed()
+			r.Hear(start, endpoint("0", 2, leaving))
+			Expect(r.Changes(start, before).Endpoints).To(HaveLen(1))
+			Expect(r.Beats(start, before).Endpoints).To(HaveLen(1))
+			return testing.AllocsPerRun(10, func() { r.Changes(start, before) })
+		}
+		Expect(work(5000)).To(Equal(work(5)))
+	})
+
+	It("tells a peer only that an endpoint was heard, where nothing else has changed", func() {
+		other := New(Config{Beat: beat}, start)
+		r.Hear(start, endpoint("a", 1, func(e *Endpoint) { e.Warm = 3 * beat }))
+		all := r.Beats(start, 0)
+		Expect(all.Endpoints).To(HaveLen(1))
+		Expect(all.Beats).To(BeEmpty())
+		other.Merge(start, all)
+
+		now := start.Add(2 * beat)
+		r.Hear(now, endpoint("a", 2, func(e *Endpoint) { e.Warm = beat }))
+		more := r.Beats(now, all.Number)
+		Expect(more.Endpoints).To(BeEmpty())
+		Expect(more.Beats).To(HaveLen(1))
+		other.Merge(now, more)
+		m := find(other.Changes(now, 0), "a")
+		Expect(m.Sequence).To(Equal(uint64(2)))
+		Expect(time.Duration(m.AgeNanos)).To(BeZero())
+		Expect(time.Duration(m.WarmNanos)).To(Equal(beat), "what is left of it")
+		other.Sweep(start.Add(4 * beat))
+		Expect(find(other.Changes(now, 0), "a").Silent).To(BeFalse())
+	})
+
+	Describe("told what an entry knows", func() {
+		const endpoints = 200
+		known := Digest{}
+		id := func(n int) string { return fmt.Sprint("i-", n) }
+		BeforeEach(func() {
+			known = Digest{}
+			for n := range endpoints {
+				e := endpoint(id(n), 1, func(e *Endpoint) {
+					e.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+				})
+				r.Hear(start, e)
+				known.Add(e)
+			}
+		})
+
+		It("tells it nothing that it knows, whatever the heartbeats since", func() {
+			r.Hear(start.Add(beat), endpoint(id(0), 7, func(e *Endpoint) {
+				e.Addr, e.Warm = netip.MustParseAddrPort("10.0.0.0:80"), beat
+			}))
+			told := r.Lacking(start, known)
+			Expect(told.Endpoints).To(BeEmpty())
+			Expect(told.Same).To(Equal(^uint64(0)))
+			Expect(told.Number).To(Equal(r.number))
+		})
+
+		It("tells all to one that knows nothing", func() {
+			Expect(r.Lacking(start, Digest{}).Endpoints).To(HaveLen(endpoints))
+		})
+
+		It("tells the part in which something was added, has changed, leaves or has ended", func() {
+			changes := map[string]func(){
+				id(3): func() { r.Leave(start, id(3)) },
+				id(4): func() {
+					r.Hear(start, endpoint(id(4), 2, func(e *Endpoint) { e.Addr, e.Leaving = netip.MustParseAddrPort("10.0.0.4:80"), true }))
+				},
+				"new": func() {
+					r.Hear(start, endpoint("new", 1, func(e *Endpoint) { e.Addr = netip.MustParseAddrPort("10.1.0.4:80") }))
+				},
+				id(5): func() {
+					r.Hear(start, endpoint(id(5), 2, func(e *Endpoint) { e.Addr, e.Slots = netip.MustParseAddrPort("10.0.0.5:80"), 9 }))
+				},
+			}
+			for changed, change := range changes {
+				change()
+				told := r.Lacking(start, known)
+				Expect(find(told, changed)).NotTo(BeNil(), changed)
+				Expect(told.Same & PartBit(changed)).To(BeZero())
+				Expect(len(told.Endpoints)).To(BeNumerically("<", endpoints/4), "not the whole list")
+			}
+		})
+
+		It("tells what is silent in every part, since a digest does not say it", func() {
+			now := start.Add(3 * beat)
+			r.Sweep(now)
+			told := r.Lacking(now, known)
+			Expect(told.Same).To(Equal(^uint64(0)))
+			Expect(told.Endpoints).To(HaveLen(endpoints))
+		})
+
+		It("keeps its sums right through ends and through forgetting", func() {
+			for n := range endpoints {
+				r.Leave(start, id(n))
+			}
+			r.Sweep(start.Add((forgetBeats + 1) * beat))
+			Expect(r.digest).To(Equal(Digest{}))
+		})
+
+		It("knows as much of one that ended, wherever it learned that", func() {
+			other := New(Config{Beat: beat}, start)
+			r.Leave(start, id(7))
+			other.Merge(start, r.Changes(start, 0))
+			Expect(other.digest).To(Equal(r.digest))
+		})
+
+		It("tells briefly what changed by a sum that one who knows the change has too", func() {
+			before := r.Changed()
+			Expect(r.ChangesBriefly(start, before).Sums).To(BeEmpty())
+			changed := endpoint(id(4), 2, func(e *Endpoint) { e.Addr, e.Leaving = netip.MustParseAddrPort("10.0.0.4:80"), true })
+			r.Hear(start, changed)
+			told := r.ChangesBriefly(start, before)
+			Expect(told.Endpoints).To(BeEmpty())
+			Expect(told.Sums).To(ConsistOf(And(HaveField("Id", id(4)), HaveField("Sum", Sum(changed)))))
+			changed.Leaving = false
+			Expect(told.Sums[0].Sum).NotTo(Equal(Sum(changed)))
+			Expect(find(r.Records(start, []string{id(4), "unknown"}), id(4)).Leaving).To(BeTrue())
+		})
+
+		It("tells briefly, but whole, what fell silent and what is heard again", func() {
+			before := r.Changed()
+			r.Sweep(start.Add(3 * beat))
+			silent := r.ChangesBriefly(start, before)
+			Expect(silent.Endpoints).To(HaveLen(endpoints))
+			r.Hear(start.Add(3*beat), endpoint(id(4), 2, func(e *Endpoint) { e.Addr = netip.MustParseAddrPort("10.0.0.4:80") }))
+			again := r.ChangesBriefly(start, silent.Number)
+			Expect(again.Endpoints).To(HaveLen(1))
+			Expect(again.Endpoints[0].Silent).To(BeFalse())
+		})
+	})
+})
