What an entry learns of endpoints, tags and counts are files of their own

Cause: steer/table.go held routes, reports of endpoints, silence, shared tags and counts; "strikes" and "born" are no words of the project. Done: learn.go, tag.go and counts.go beside table.go; the start of a record is a function, routes and incarnations are forgotten each by its own. A backend has flows that are unanswered and a time at which it started. The package's header stands in steer.go. No behaviour changes.

--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// strikesToSuspect is how many opened flows in a row stay without an
+	// unansweredToSuspect is how many opened flows in a row stay without an
 	// answer before an endpoint is avoided: one may be a lost packet.
-	strikesToSuspect = 2
+	unansweredToSuspect = 2
 	// suspectFirst and suspectMost bound how long it is avoided before one
 	// flow tries it again; the span doubles with each failure.
 	suspectFirst = time.Second
@@ -30,7 +30,7 @@
 	registry.Endpoint
 	tag       uint32
 	part      uint64    // bit of its part of the digest
-	born      time.Time // about when it started, by how often it was heard since
+	startedAt time.Time // about when it started, by how often it was heard since
 	warmUntil time.Time
 	goneAt    time.Time
 	leavingAt time.Time // when this entry learned that it leaves
@@ -39,7 +39,7 @@
 
 	flows        int // remembered by this entry
 	busy         int // requests of theirs that wait for the first byte of the answer
-	strikes      int // flows in a row that were not answered
+	unanswered   int // flows in a row that were not answered
 	suspectFor   time.Duration
 	suspectUntil time.Time
 }
@@ -47,16 +47,16 @@
 // answered takes the evidence that the endpoint answers; it reports whether
 // the endpoint was under suspicion for flows that it had not answered.
 func (b *backend) answered() bool {
-	was := b.strikes >= strikesToSuspect
-	b.strikes, b.suspectFor, b.suspectUntil = 0, 0, time.Time{}
+	was := b.unanswered >= unansweredToSuspect
+	b.unanswered, b.suspectFor, b.suspectUntil = 0, 0, time.Time{}
 	return was
 }
 
-// struck takes the evidence that it did not answer a flow; it reports whether
-// the endpoint is avoided from now on.
-func (b *backend) struck(now time.Time) bool {
-	b.strikes++
-	if b.strikes < strikesToSuspect || now.Before(b.suspectUntil) {
+// leftUnanswered takes the evidence that it did not answer a flow; it reports
+// whether the endpoint is avoided from now on.
+func (b *backend) leftUnanswered(now time.Time) bool {
+	b.unanswered++
+	if b.unanswered < unansweredToSuspect || now.Before(b.suspectUntil) {
 		return false
 	}
 	b.suspectFor = min(max(suspectFirst, 2*b.suspectFor), suspectMost)
--- /dev/null
+++ b/internal/steer/counts.go
@@ -0,0 +1,23 @@
+package steer
+
+import "time"
+
+// Counts tells what a Steerer holds.
+type Counts struct {
+	Flows, Endpoints, Silent, Suspect int
+	Version                           uint64
+}
+
+// Counts returns what the Steerer holds.
+func (s *Steerer) Counts(now time.Time) Counts {
+	c := Counts{Flows: len(s.flows), Endpoints: len(s.byID), Version: s.Version()}
+	for _, b := range s.byID {
+		if b.silent {
+			c.Silent++
+		}
+		if now.Before(b.suspectUntil) {
+			c.Suspect++
+		}
+	}
+	return c
+}
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -134,13 +134,14 @@
 }
 
 // sweep counts unanswered flows against their endpoints, forgets flows that
-// rested too long, and now and then endpoints that ended long ago.
+// rested too long, and now and then what ended or was dropped long ago.
 func (s *Steerer) sweep(now time.Time) {
 	s.countUnanswered(now)
 	s.forgetResting(now)
-	if !now.Before(s.dropAt) {
-		s.dropAt = now.Add(dropGoneEvery)
-		s.dropGone(now)
+	if !now.Before(s.forgetAt) {
+		s.forgetAt = now.Add(forgetEvery)
+		s.forgetDropped(now)
+		s.forgetGone(now)
 	}
 }
 
@@ -153,7 +154,7 @@
 			break
 		}
 		s.stopWaiting(f)
-		if f.backend.struck(now) {
+		if f.backend.leftUnanswered(now) {
 			s.suspected(f.backend, true)
 		}
 	}
--- /dev/null
+++ b/internal/steer/learn.go
@@ -0,0 +1,161 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/wire"
+)
+
+// Learn takes what a control instance, source, reports of endpoints. It returns
+// the ids of those of which that one knows something else.
+func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) (lacking []string) {
+	heard := s.silentBy[source]
+	if heard == nil {
+		heard = map[string]bool{}
+		s.silentBy[source] = heard
+	}
+	s.learnSame(heard, reports.Same)
+	for _, m := range reports.Endpoints {
+		s.learn(now, registry.FromMessage(m))
+		if b := s.byID[m.Id]; b != nil {
+			heard[m.Id] = m.Silent
+			s.settleSilence(b)
+		}
+	}
+	s.whole = s.whole || reports.Whole
+	for _, m := range reports.Sums {
+		if !s.learnSum(heard, m) {
+			lacking = append(lacking, m.Id)
+		}
+	}
+	return lacking
+}
+
+// learnSum takes what a control instance knows of an endpoint by its sum; it
+// reports false where this entry must ask for more.
+func (s *Steerer) learnSum(heard map[string]bool, m *wire.RecordSum) bool {
+	b := s.byID[m.Id]
+	switch {
+	case b == nil:
+		return false
+	case b.Gone:
+		return true // for good, whatever others know
+	case registry.Sum(b.Endpoint) != m.Sum:
+		return false
+	}
+	if _, said := heard[m.Id]; !said {
+		heard[m.Id] = false
+		s.settleSilence(b)
+	}
+	return true
+}
+
+// learnSame takes that a control instance knows just what this entry knows of
+// some parts of the endpoints: those that it has not called silent it hears.
+func (s *Steerer) learnSame(heard map[string]bool, parts uint64) {
+	if parts == 0 {
+		return
+	}
+	for id, b := range s.byID {
+		if _, said := heard[id]; !said && parts&b.part != 0 {
+			heard[id] = false
+			s.settleSilence(b)
+		}
+	}
+}
+
+// Digest sums up what is known of endpoints, so that a control instance can
+// leave out what need not be told.
+func (s *Steerer) Digest() registry.Digest { return s.digest }
+
+// Forget drops what a control instance said about silence: it is out of reach.
+func (s *Steerer) Forget(source string) {
+	delete(s.silentBy, source)
+	for _, b := range s.byID {
+		s.settleSilence(b)
+	}
+}
+
+// learn takes what is reported of one endpoint, and keeps the digest.
+func (s *Steerer) learn(now time.Time, e registry.Endpoint) {
+	if b := s.byID[e.ID]; b != nil {
+		s.digest.Add(b.Endpoint)
+	}
+	s.take(now, e)
+	if b := s.byID[e.ID]; b != nil {
+		s.digest.Add(b.Endpoint)
+	}
+}
+
+// take takes what is reported of one endpoint. A report that it has ended
+// stands; otherwise the highest sequence does.
+func (s *Steerer) take(now time.Time, e registry.Endpoint) {
+	b := s.byID[e.ID]
+	switch {
+	case b == nil:
+		b = s.add(now, e)
+	case b.Gone:
+		return
+	case e.Gone:
+		b.Gone = true
+	case e.Sequence <= b.Sequence:
+		return
+	default:
+		b.Endpoint = e
+	}
+	if b.Gone && b.goneAt.IsZero() {
+		b.goneAt = now
+	}
+	if b.Leaving && b.leavingAt.IsZero() {
+		b.leavingAt = now
+	}
+	b.warmUntil = now.Add(e.Warm)
+}
+
+// add begins what is known of an incarnation.
+func (s *Steerer) add(now time.Time, e registry.Endpoint) *backend {
+	b := &backend{
+		Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID),
+		startedAt: now.Add(-time.Duration(e.Sequence) * s.config.Beat),
+	}
+	s.byID[e.ID] = b
+	if !e.Addr.IsValid() {
+		return b // only known to have ended: remembered so that nobody revives it
+	}
+	s.pools[e.Service] = append(s.pools[e.Service], b)
+	s.settleTag(b)
+	return b
+}
+
+// settleSilence works out whether an endpoint is silent to all that know it.
+func (s *Steerer) settleSilence(b *backend) {
+	known, silent := 0, 0
+	for _, heard := range s.silentBy {
+		if quiet, ok := heard[b.ID]; ok {
+			known++
+			if quiet {
+				silent++
+			}
+		}
+	}
+	b.silent = known > 0 && known == silent
+}
+
+// forgetGone forgets incarnations that ended so long ago that no flow of theirs
+// can be left.
+func (s *Steerer) forgetGone(now time.Time) {
+	for id, b := range s.byID {
+		if !b.Gone || now.Sub(b.goneAt) < s.config.MaxFlow {
+			continue
+		}
+		delete(s.byID, id)
+		s.digest.Add(b.Endpoint)
+		s.freeTag(b)
+		for _, heard := range s.silentBy {
+			delete(heard, id)
+		}
+		s.pools[b.Service] = slices.DeleteFunc(s.pools[b.Service], func(other *backend) bool { return other == b })
+	}
+}
--- a/internal/steer/packet.go
+++ b/internal/steer/packet.go
@@ -1,8 +1,3 @@
-// Package steer decides where an entry sends the packets of a fabric that
-// carries a tag with each flow: the opening packet of a flow is placed once by
-// what is known of the endpoints, and every later packet goes by its tag
-// alone, at any entry, with no record and no message. The package has no I/O,
-// and now is an argument. One goroutine at a time uses a Steerer.
 package steer
 
 import (
@@ -19,12 +14,6 @@
 	Rst
 )
 
-// The keys of the tag's hash; they are part of the protocol between entries.
-const (
-	tagKey0 = 0x6f78626f77736164
-	tagKey1 = 0x646c652074616773
-)
-
 type (
 	// Flags is a set of flags.
 	Flags uint8
@@ -51,13 +40,6 @@
 // Opens reports whether the packet asks for a new flow.
 func (p Packet) Opens() bool { return p.Flags == Syn }
 
-// Tag returns the tag of an incarnation of an endpoint; it is the same on
-// every entry, and never 0.
-func Tag(id string) uint32 {
-	h := siphash.Hash(tagKey0, tagKey1, []byte(id))
-	return max(1, uint32(h^h>>32))
-}
-
 // draw returns a number that is the same for all copies of an opening packet.
 func (p Packet) draw() uint64 {
 	var b [40]byte
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -1,3 +1,8 @@
+// Package steer decides where an entry sends the packets of a fabric that
+// carries a tag with each flow: the opening packet of a flow is placed once by
+// what is known of the endpoints, and every later packet goes by its tag
+// alone, at any entry, with no record and no message. The package has no I/O,
+// and now is an argument. One goroutine at a time uses a Steerer.
 package steer
 
 import (
@@ -12,9 +17,9 @@
 const (
 	// sweepEvery is how often unanswered and resting flows are looked for.
 	sweepEvery = 20 * time.Millisecond
-	// dropGoneEvery is how often ended incarnations, and routes dropped long ago,
-	// are looked for.
-	dropGoneEvery = time.Second
+	// forgetEvery is how often incarnations that ended, and routes that were
+	// dropped, long ago are looked for.
+	forgetEvery = time.Second
 	// goneFor is how long ago an endpoint must have ended before packets of
 	// its flows are answered by a reset: until then it may still answer.
 	goneFor = 500 * time.Millisecond
@@ -48,11 +53,11 @@
 		whole    bool                       // a control instance has reported every endpoint
 		digest   registry.Digest            // of byID
 
-		flows   map[flowKey]*flow
-		resting *list.List // flows, the longest at rest first
-		opening *list.List // flows not answered yet, the oldest first
-		sweepAt time.Time  // of the next sweep
-		dropAt  time.Time  // of the next dropGone
+		flows    map[flowKey]*flow
+		resting  *list.List // flows, the longest at rest first
+		opening  *list.List // flows not answered yet, the oldest first
+		sweepAt  time.Time  // of the next sweep
+		forgetAt time.Time  // of the next forgetGone and forgetDropped
 	}
 )
 
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -404,8 +404,8 @@
 			}
 			return holder.ID
 		}
-		incarnation := func(id string, born time.Time) *backend {
-			b := &backend{tag: 77, born: born}
+		incarnation := func(id string, startedAt time.Time) *backend {
+			b := &backend{tag: 77, startedAt: startedAt}
 			b.ID = id
 			return b
 		}
@@ -430,7 +430,7 @@
 				s.settleTag(x)
 			}
 			a.Gone, a.goneAt = true, start
-			s.dropGone(start.Add(time.Minute))
+			s.forgetGone(start.Add(time.Minute))
 			Expect(s.byTag[77]).To(Equal(b))
 			Expect(b.open()).To(BeTrue())
 		})
@@ -441,7 +441,7 @@
 			now := start.Add(time.Minute)
 			fresh := New(Config{MaxFlows: 10, Beat: time.Second})
 			fresh.Learn(now, "c1", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Sequence = 61 })))
-			Expect(fresh.byID["booking-1"].born).To(BeTemporally("~", old.byID["booking-1"].born, time.Second))
+			Expect(fresh.byID["booking-1"].startedAt).To(BeTemporally("~", old.byID["booking-1"].startedAt, time.Second))
 		})
 	})
 
