The tests of package steer stand beside the files that they test

Done: the tests of routes, of what is learned, of shared tags and of remembered flows are moved unchanged; what they start with is one function.

--- /dev/null
+++ b/internal/steer/learn_test.go
@@ -0,0 +1,99 @@
+package steer
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/wire"
+)
+
+var _ = Describe("what a Steerer learns of endpoints", func() {
+	var s *Steerer
+	BeforeEach(func() { s = testSteerer() })
+
+	It("does not take an older report for a newer one, and never revives what is gone", func() {
+		s.Learn(start, "c1", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 5, true })))
+		s.Learn(start, "c2", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Sequence = 4 })))
+		Expect(s.byID["booking-1"].Leaving).To(BeTrue())
+		s.Learn(start, "c1", reports(report("booking", 2, func(m *wire.EndpointReport) { m.Gone = true })))
+		s.Learn(start, "c2", reports(report("booking", 2, func(m *wire.EndpointReport) { m.Sequence = 9 })))
+		Expect(s.byID["booking-2"].open()).To(BeFalse())
+	})
+
+	It("does not take for living what it was only told to have ended", func() {
+		s.Learn(start, "c1", reports(&wire.EndpointReport{Id: "booking-9", Gone: true}))
+		s.Learn(start, "c2", reports(report("booking", 9, nil)))
+		Expect(s.byID["booking-9"].open()).To(BeFalse())
+		Expect(s.Decide(start, later(1000, Tag("booking-9"), 8, 1, 10)).Reason).To(Equal(UnknownTag))
+		Expect(s.pools["booking"]).To(HaveLen(2))
+	})
+
+	It("takes an endpoint for silent only if every control instance that knows it does", func() {
+		silent := func(m *wire.EndpointReport) { m.Silent = true }
+		s.Learn(start, "c2", reports(report("booking", 1, silent)))
+		Expect(s.byID["booking-1"].silent).To(BeFalse())
+		s.Learn(start, "c1", reports(report("booking", 1, silent)))
+		Expect(s.byID["booking-1"].silent).To(BeTrue())
+		s.Forget("c1")
+		s.Forget("c2")
+		Expect(s.byID["booking-1"].silent).To(BeFalse())
+	})
+
+	It("counts a control instance that knows the same as one that hears the endpoints", func() {
+		silent := func(m *wire.EndpointReport) { m.Silent = true }
+		s.Learn(start, "c2", reports(report("booking", 1, silent)))
+		s.Learn(start, "c3", &wire.Reports{Same: ^uint64(0), Endpoints: []*wire.EndpointReport{report("booking", 2, silent)}})
+		s.Forget("c1")
+		Expect(s.byID["booking-1"].silent).To(BeFalse(), "c3 hears it")
+		Expect(s.byID["booking-2"].silent).To(BeTrue(), "nobody but c3 knows it now")
+		s.Forget("c3")
+		Expect(s.byID["booking-1"].silent).To(BeTrue())
+	})
+
+	It("notices by brief reports what it was not told, and takes the rest for heard", func() {
+		r := registry.New(registry.Config{Beat: time.Second}, start)
+		r.Merge(start, reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil)))
+		before := r.Changed()
+		s.Learn(start, "c2", r.Lacking(start, s.Digest()))
+		r.Merge(start, reports(report("booking", 4, nil)))
+		brief := r.ChangesBriefly(start, before)
+		lacking := s.Learn(start, "c2", brief)
+		Expect(lacking).To(ConsistOf("booking-4"))
+		Expect(s.byID).NotTo(HaveKey("booking-4"))
+
+		s.Learn(start, "c1", reports(report("booking", 4, func(m *wire.EndpointReport) { m.Silent = true })))
+		Expect(s.byID["booking-4"].silent).To(BeTrue())
+		Expect(s.Learn(start, "c2", brief)).To(BeEmpty())
+		Expect(s.byID["booking-4"].silent).To(BeFalse(), "c2 knows it and has not called it silent")
+	})
+
+	It("asks for nothing that it knows to have ended, and for all that it takes for living", func() {
+		ended := &wire.Reports{Sums: []*wire.RecordSum{{Id: "booking-1", Sum: registry.Sum(registry.Endpoint{ID: "booking-1", Gone: true})}}}
+		Expect(s.Learn(start, "c2", ended)).To(ConsistOf("booking-1"))
+		s.Learn(start, "c1", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Gone = true })))
+		Expect(s.Learn(start, "c2", ended)).To(BeEmpty())
+	})
+
+	It("has the digest of the control instance that told it all, also of what has ended", func() {
+		r := registry.New(registry.Config{Beat: time.Second}, start)
+		all := reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil))
+		r.Merge(start, all)
+		told := func() []*wire.EndpointReport { return r.Lacking(start, s.Digest()).Endpoints }
+		Expect(told()).To(BeEmpty())
+		r.Leave(start, "booking-1")
+		Expect(told()).NotTo(BeEmpty())
+		s.Learn(start, "c1", r.Changes(start, 0))
+		Expect(told()).To(BeEmpty())
+	})
+
+	It("forgets an incarnation that ended a flow's longest life ago", func() {
+		s.Learn(start, "c1", reports(report("booking", 1, func(m *wire.EndpointReport) { m.Gone = true })))
+		s.Decide(start.Add(time.Minute+time.Second), opening(1000, 7, 0))
+		Expect(s.byID).NotTo(HaveKey("booking-1"))
+		Expect(s.byTag).NotTo(HaveKey(Tag("booking-1")))
+		Expect(s.pools["booking"]).To(HaveLen(1))
+	})
+})
--- /dev/null
+++ b/internal/steer/table_test.go
@@ -0,0 +1,53 @@
+package steer
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/document"
+)
+
+var _ = Describe("the routes of a Steerer", func() {
+	var s *Steerer
+	BeforeEach(func() { s = testSteerer() })
+
+	It("resets flows of a route that the document in force dropped, and takes them when it is back", func() {
+		d := s.Decide(start, opening(1000, 7, 0))
+		s.SetDocument(start, testDocument(2, routeTo(documentsAddr, "documents")))
+		e := s.Decide(start, later(1000, d.Tag, 8, 55, 10))
+		Expect(e.Reason).To(Equal(RouteDropped))
+		Expect(e.Action).To(Equal(Reset))
+		Expect(e.Seq).To(Equal(uint32(55)), "what the caller expects next")
+		s.SetDocument(start, testDocument(3, routeTo(bookingAddr, "booking")))
+		Expect(s.Decide(start, opening(1001, 7, 0)).Reason).To(Equal(Placed))
+	})
+
+	It("forgets a dropped route once no flow of it can be left", func() {
+		d := s.Decide(start, opening(1000, 7, 0))
+		s.SetDocument(start, testDocument(2, routeTo(documentsAddr, "documents")))
+		Expect(s.Decide(start.Add(time.Minute-time.Second), later(1000, d.Tag, 8, 55, 10)).Reason).To(Equal(RouteDropped))
+		s.Decide(start.Add(time.Minute), later(1000, d.Tag, 8, 55, 10))
+		Expect(s.dropped).To(BeEmpty())
+	})
+
+	It("goes only forward", func() {
+		Expect(s.SetDocument(start, testDocument(1))).To(BeFalse())
+		Expect(s.SetDocument(start, testDocument(0))).To(BeFalse())
+		Expect(s.Version()).To(Equal(uint64(1)))
+	})
+
+	It("splits new flows by the weights of a route", func() {
+		r := routeTo(bookingAddr, "booking")
+		r.Shares = []document.Share{{Service: "booking", Weight: 90}, {Service: "documents", Weight: 10}}
+		s.SetDocument(start, testDocument(2, r))
+		booking := 0
+		for port := range uint16(1000) {
+			if s.Decide(start, opening(1000+port, 7, 0)).ID != "documents-3" {
+				booking++
+			}
+		}
+		Expect(booking).To(BeNumerically("~", 900, 40))
+	})
+})
