The fleet of control instances that tests start stands in a file of its own

Cause: disk_test.go and firstack_test.go both use it; it stood half in each. Done: moved to fleet_test.go unchanged, its types grouped at the head.

--- a/internal/node/firstack_test.go
+++ b/internal/node/firstack_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"slices"
 	"testing"
 	"time"
 
@@ -50,9 +49,3 @@
 		})
 	}
 }
-
-// follower returns an instance that does not lead.
-func (f controlFleet) follower() *runningControl {
-	leader := f.leader()
-	return f[slices.IndexFunc(f, func(r *runningControl) bool { return r != leader })]
-}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/storage/storagetest"
+)
+
+// patience bounds what control instances may take to settle; nothing is
+// asserted about how fast they do.
+const patience = 30 * time.Second
+
+type (
+	// runningControl is a control instance with its disk.
+	runningControl struct {
+		*Control
+		config ControlConfig
+		disk   *storagetest.Failing
+		stop   func()
+	}
+
+	// controlFleet is control instances in one process, the first three of them
+	// the seeds.
+	controlFleet []*runningControl
+)
+
+// start runs the instance on what its disk holds.
+func (r *runningControl) start() {
+	r.Control = NewControl(r.config)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func(c *Control) {
+		defer close(done)
+		_ = c.Run(ctx)
+	}(r.Control)
+	r.stop = func() {
+		cancel()
+		<-done
+	}
+}
+
+// lose replaces the disk by an empty one.
+func (r *runningControl) lose(folder string) {
+	r.config.First = false
+	r.disk = storagetest.NewFailing(func() (storage.Files, error) { return storage.Folder(folder) })
+	r.config.Files = r.disk.Files
+}
+
+// startFleet starts n control instances on loopback addresses of their own.
+func startFleet(subnet byte, n, voters int, tempDir func() string, logger *log.Logger) controlFleet {
+	var all controlFleet
+	var seeds []netip.AddrPort
+	for i := range n {
+		const port = 17740
+		peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, subnet, byte(1 + i)}), port)
+		if len(seeds) < 3 {
+			seeds = append(seeds, peer)
+		}
+		r := &runningControl{config: ControlConfig{
+			Domain: fmt.Sprint("d", i%3), Peer: peer, Front: fmt.Sprint("front-", i), Voters: voters,
+			Beat: time.Second, Log: logger, Now: SteadyClock(),
+		}}
+		r.lose(tempDir())
+		r.config.First = true
+		all = append(all, r)
+	}
+	for _, r := range all {
+		r.config.Seeds = seeds
+		r.start()
+	}
+	return all
+}
+
+// stop ends all of them.
+func (f controlFleet) stop() {
+	for _, r := range f {
+		r.stop()
+	}
+}
+
+// leader returns the instance that leads, nil for none.
+func (f controlFleet) leader() *runningControl {
+	for _, r := range f {
+		if r.Status().Current {
+			return r
+		}
+	}
+	return nil
+}
+
+// follower returns an instance that does not lead.
+func (f controlFleet) follower() *runningControl {
+	leader := f.leader()
+	return f[slices.IndexFunc(f, func(r *runningControl) bool { return r != leader })]
+}
+
+// order offers a document to one instance after the other until one
+// acknowledges it.
+func (f controlFleet) order(version uint64) {
+	doc, _ := document.New(document.Config{Version: version})
+	for {
+		for _, r := range f {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			_, err := r.Put(ctx, doc)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+	}
+}
