Links of an entry, and feeds, each are built and named in one place

Done: links.go holds whom an entry hears; newEntryFeed; one locked read; rosterEvery, matterFlow and accepted; the time is set once. Long functions are split: open of the disk, why of an entry. No behaviour changes.

--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -9,6 +9,13 @@
 	"oxbowsaddle/internal/wire"
 )
 
+const (
+	// accepted is the kind of an answer that grants what was asked.
+	accepted = "accepted"
+	// matterFlow is what operators may ask an entry about.
+	matterFlow = "flow"
+)
+
 type (
 	// controlAnswers answers the commands of operators at a control instance.
 	// Indexes and revisions are versions of the document here.
@@ -46,7 +53,6 @@
 			Kind: fault.Usage.Name(), Detail: "control instances of this fabric find and replace each other by themselves",
 		}, nil
 	}
-	const accepted = "accepted"
 	return &wire.VotersReply{Kind: accepted, Voters: a.control.Status().Voters}, nil
 }
 
@@ -79,7 +85,7 @@
 
 // Why explains a flow.
 func (a *entryAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
-	if r.Matter != "flow" {
+	if r.Matter != matterFlow {
 		return &wire.WhyReply{Lines: []string{"an entry of this fabric explains flows; look for what was " + r.Matter + " in its log lines"}}, nil
 	}
 	src, err := netip.ParseAddrPort(r.Source)
@@ -90,13 +96,18 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Usage, err)
 	}
+	return &wire.WhyReply{Decisions: []*wire.Decision{a.explain(src, dst)}}, nil
+}
+
+// explain explains the flow between two addresses.
+func (a *entryAnswers) explain(src, dst netip.AddrPort) *wire.Decision {
 	e := a.entry
 	now := e.config.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	d := e.steerer.Explain(now, src, dst)
 	d.Entry, d.UnixNano = e.config.Name, time.Now().UnixNano() // the steady clock tells no time of day
-	return &wire.WhyReply{Decisions: []*wire.Decision{d}}, nil
+	return d
 }
 
 // Stats returns the entry's figures.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -61,7 +61,8 @@
 func NewControl(c ControlConfig) *Control {
 	const queue = 256
 	control := &Control{
-		config: c, calls: make(chan func(time.Time), queue), endpoints: newEndpointList(c), entries: newEntryList(c.Now), waiting: map[uint64]chan bool{},
+		config: c, calls: make(chan func(time.Time), queue), waiting: map[uint64]chan bool{},
+		endpoints: newEndpointList(c), entries: newEntryList(c.Now),
 	}
 	control.status.Store(&madeStatus{})
 	control.published.Store(&published{})
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -8,20 +8,22 @@
 	"oxbowsaddle/internal/steer"
 )
 
-// packetCounts counts packets by why they were treated as they were.
-type packetCounts struct {
-	byReason [steer.ReasonCount]atomic.Uint64
-}
+type (
+	// packetCounts counts packets by why they were treated as they were.
+	packetCounts struct {
+		byReason [steer.ReasonCount]atomic.Uint64
+	}
+
+	// figure is a counter or gauge with its name, labels included.
+	figure struct {
+		name  string
+		value uint64
+	}
+)
 
 // add counts the packet that a decision is about.
 func (c *packetCounts) add(d steer.Decision) { c.byReason[d.Reason].Add(1) }
 
-// figure is a counter or gauge with its name, labels included.
-type figure struct {
-	name  string
-	value uint64
-}
-
 // writeFigures writes figures, a line each.
 func writeFigures(w io.Writer, figures []figure) {
 	for _, f := range figures {
--- a/internal/node/disk.go
+++ b/internal/node/disk.go
@@ -24,11 +24,8 @@
 		c.config.Log.Error("data folder cannot be opened", "error", err)
 		return
 	}
-	if c.failed {
-		// Reading alone would not show that the disk takes writes again.
-		if err := storage.Probe(files); err != nil {
-			return
-		}
+	if c.failed && !takesWrites(files) {
+		return
 	}
 	identity, err := loadIdentity(files, c.config)
 	if err != nil {
@@ -42,7 +39,8 @@
 	}
 	d, err := directory.New(directory.Config{
 		Self: identity.Id, Address: c.config.Peer.String(), Front: c.config.Front, Domain: c.config.Domain,
-		Founders: identity.Founders, Voters: c.config.Voters, Committed: c.loadHints(files).Commit, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Founders: identity.Founders, Voters: c.config.Voters, Committed: c.loadHints(files).Commit,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}, now, loaded)
 	if err != nil {
 		c.config.Log.Error("log cannot be used", "error", err)
@@ -53,6 +51,10 @@
 		"term", loaded.Hard.Term, "torn", loaded.Torn)
 }
 
+// takesWrites reports whether a disk that failed can be written again: reading
+// alone would not show that. Its failure was logged when it failed.
+func takesWrites(files storage.Files) bool { return storage.Probe(files) == nil }
+
 // close gives the disk up until it can be opened again, as after a crash.
 func (c *Control) close(now time.Time) {
 	_ = c.store.Close() // it has failed already
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -68,41 +68,38 @@
 	return l.registry.Changed()
 }
 
-// changesAfter returns what entries must know of the changes after a number.
-func (l *endpointList) changesAfter(number uint64) *wire.Reports {
+// read reports of the registry while nothing changes it.
+func (l *endpointList) read(reports func(now time.Time, r *registry.Registry) *wire.Reports) *wire.Reports {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.registry.Changes(l.now(), number)
+	return reports(l.now(), l.registry)
+}
+
+// changesAfter returns what entries must know of the changes after a number.
+func (l *endpointList) changesAfter(number uint64) *wire.Reports {
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.Changes(now, number) })
 }
 
 // changesBrieflyAfter returns what an entry must know of the changes after a
 // number that somebody else tells it whole.
 func (l *endpointList) changesBrieflyAfter(number uint64) *wire.Reports {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.registry.ChangesBriefly(l.now(), number)
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.ChangesBriefly(now, number) })
 }
 
 // records returns what is known of some endpoints.
 func (l *endpointList) records(ids []string) *wire.Reports {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.registry.Records(l.now(), ids)
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.Records(now, ids) })
 }
 
 // lacking returns what an entry lacks whose digest is given.
 func (l *endpointList) lacking(known registry.Digest) *wire.Reports {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.registry.Lacking(l.now(), known)
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.Lacking(now, known) })
 }
 
 // beatsAfter returns what the other control instances must know of the
 // heartbeats and changes after a number.
 func (l *endpointList) beatsAfter(number uint64) *wire.Reports {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.registry.Beats(l.now(), number)
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.Beats(now, number) })
 }
 
 // confirm notes what the instance at an address holds; 0 after its link ended.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -68,7 +68,10 @@
 
 // NewEntry returns an entry that does not run yet.
 func NewEntry(c EntryConfig) *Entry {
-	e := &Entry{config: c, fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{}, flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce)}
+	e := &Entry{
+		config: c, fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{},
+		flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce),
+	}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -20,7 +20,8 @@
 func (l *entryLink) serve(ctx context.Context, loaded func()) error {
 	entry := l.watch.entry
 	digest := entry.digest()
-	if err := l.send(helloFrame(&wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:], Brief: true})); err != nil {
+	hello := &wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:], Brief: true}
+	if err := l.send(helloFrame(hello)); err != nil {
 		return err
 	}
 	entry.reach(l)
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -17,24 +17,36 @@
 	// them whole: long enough for that one to have told them, and still far
 	// below the time that an entry has.
 	briefGap = 200 * time.Millisecond
+	// rosterEvery is how often an entry is told of the control instances: three
+	// times within linkIdle, so that its link stays while nothing changes.
+	rosterEvery = 2 * frameEvery
 )
 
 // entryFeed sends one entry what it lacks.
 type entryFeed struct {
 	control *Control
 	stream  wire.DRPCDirectory_LinkStream
-	name    string          // of the entry
-	domain  string          // of the entry
-	known   registry.Digest // what the entry knew when the link began
-	wants   chan uint64     // the version that the entry holds, when it asks
-	records chan []string   // the endpoints that the entry asks for
-	modes   chan bool       // whether it is told briefly from now on
-	brief   bool
+	name    string           // of the entry
+	domain  string           // of the entry
+	known   registry.Digest  // what the entry knew when the link began
+	wants   chan uint64      // the version that the entry holds, when it asks
+	records chan []string    // the endpoints that the entry asks for
+	modes   chan bool        // whether it is told briefly from now on
+	brief   bool             // another control instance tells it whole records
 	due     <-chan time.Time // when changes have gathered, nil while there are none
 	sent    uint64           // number of the last reports, 0 before the first
 	offered *published       // what the last offer told of
 }
 
+// newEntryFeed returns the feed of the entry that said hello on a stream.
+func newEntryFeed(control *Control, stream wire.DRPCDirectory_LinkStream, hello *wire.Hello) *entryFeed {
+	return &entryFeed{
+		control: control, stream: stream, name: hello.Id, domain: hello.Domain,
+		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
+		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
+	}
+}
+
 // receiveLoop takes what the entry asks for until the link fails, and then
 // calls failed.
 func (f *entryFeed) receiveLoop(ctx context.Context, failed func()) {
@@ -71,7 +83,7 @@
 	defer cancel()
 	documents, cancelDocuments := f.control.documents.subscribe()
 	defer cancelDocuments()
-	ticker := time.NewTicker(2 * frameEvery)
+	ticker := time.NewTicker(rosterEvery)
 	defer ticker.Stop()
 	err := f.sendOffer()
 	if err == nil {
--- /dev/null
+++ b/internal/node/links.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"maps"
+	"slices"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// reach notes that a control instance can be asked.
+func (e *Entry) reach(l *entryLink) {
+	e.mu.Lock()
+	e.links[l.address] = l
+	e.mu.Unlock()
+	e.choosePrimary()
+}
+
+// locate takes from a roster, whose sender comes first, where the sender is.
+func (e *Entry) locate(source string, roster *wire.Roster) {
+	if len(roster.Instances) == 0 {
+		return
+	}
+	e.mu.Lock()
+	e.primary.locate(source, roster.Instances[0].Domain)
+	e.mu.Unlock()
+	e.choosePrimary()
+}
+
+// choosePrimary has one control instance tell every change of endpoints, and the
+// others tell them briefly.
+func (e *Entry) choosePrimary() {
+	e.mu.Lock()
+	before, changed := e.primary.choose(slices.Sorted(maps.Keys(e.links)))
+	now, last := e.links[e.primary.chosen], e.links[before]
+	e.mu.Unlock()
+	if !changed {
+		return
+	}
+	// A link that fails is noticed where it is read; another one is chosen then.
+	if now != nil {
+		_ = now.subscribe(false)
+	}
+	if last != nil {
+		_ = last.subscribe(true)
+	}
+}
+
+// forget drops what a control instance said, since it is out of reach, and
+// asks another one for the document.
+func (e *Entry) forget(source string) {
+	e.mu.Lock()
+	e.steerer.Forget(source)
+	e.fetch.lost(source)
+	delete(e.links, source)
+	e.mu.Unlock()
+	e.choosePrimary()
+	e.askDocument()
+}
--- a/internal/node/primary.go
+++ b/internal/node/primary.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/dchest/siphash"
@@ -44,12 +45,7 @@
 	}
 	p.chosen = ""
 	if len(near) > 0 {
-		p.chosen = slices.MaxFunc(near, func(a, b string) int {
-			if p.rank(a) < p.rank(b) {
-				return -1
-			}
-			return 1
-		})
+		p.chosen = slices.MaxFunc(near, func(a, b string) int { return cmp.Compare(p.rank(a), p.rank(b)) })
 	}
 	return before, p.chosen != before
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"oxbowsaddle/internal/fault"
-	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -54,11 +53,7 @@
 func (h *linkHandler) serveEntry(stream wire.DRPCDirectory_LinkStream, hello *wire.Hello) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	feed := &entryFeed{
-		control: h.control, stream: stream, name: hello.Id, domain: hello.Domain,
-		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
-		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
-	}
+	feed := newEntryFeed(h.control, stream, hello)
 	h.control.entries.heard(feed, 0)
 	defer h.control.entries.lost(feed)
 	go feed.receiveLoop(ctx, cancel)
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -25,11 +25,10 @@
 
 // Explain tells what the Steerer remembers of a flow, or, where it remembers
 // nothing, what it would do with its opening packet now; and of every endpoint
-// that the route leads to why it was chosen or passed over.
+// that the route leads to why it was chosen or passed over. The entry and the
+// time of day are left to the caller.
 func (s *Steerer) Explain(now time.Time, src, dst netip.AddrPort) *wire.Decision {
-	d := &wire.Decision{
-		UnixNano: now.UnixNano(), Subject: src.String() + " " + dst.String(), Index: s.Version(), Active: s.Version(),
-	}
+	d := &wire.Decision{Subject: src.String() + " " + dst.String(), Index: s.Version(), Active: s.Version()}
 	r := s.routes[dst]
 	if r != nil {
 		d.Parameter = r.describe()
