--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -9,6 +9,14 @@
 	"oxbowsaddle/internal/wire"
 )
 
+const (
+	// accepted is the kind of an answer that grants what was asked.
+	accepted = "accepted"
+	// What operators may ask an entry about.
+	matterFlow    = "flow"
+	matterRefused = "refused"
+)
+
 type (
 	// controlAnswers answers the commands of operators at a control instance.
 	// Indexes and revisions are versions of the document here.
@@ -46,7 +54,6 @@
 			Kind: fault.Usage.Name(), Detail: "control instances of this fabric find and replace each other by themselves",
 		}, nil
 	}
-	const accepted = "accepted"
 	return &wire.VotersReply{Kind: accepted, Voters: a.control.Status().Voters}, nil
 }
 
@@ -80,10 +87,10 @@
 // Why tells the kept decisions on a flow and where it is now, or the last packets
 // that were refused.
 func (a *entryAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
-	if r.Matter == "refused" {
+	if r.Matter == matterRefused {
 		return &wire.WhyReply{Decisions: a.signed(a.entry.kept.refused())}, nil
 	}
-	if r.Matter != "flow" {
+	if r.Matter != matterFlow {
 		return &wire.WhyReply{Lines: []string{"an entry of this fabric explains flows; look for what was " + r.Matter + " in its log lines"}}, nil
 	}
 	src, err := netip.ParseAddrPort(r.Source)
@@ -94,13 +101,19 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Usage, err)
 	}
+	return &wire.WhyReply{Decisions: a.signed(a.explain(src, dst))}, nil
+}
+
+// explain returns the kept decisions on the flow between two addresses, and then
+// where it is now.
+func (a *entryAnswers) explain(src, dst netip.AddrPort) []*wire.Decision {
 	e := a.entry
 	now := e.config.Now()
 	e.mu.Lock()
 	d := e.steerer.Explain(now, src, dst)
 	e.mu.Unlock()
 	d.UnixNano = time.Now().UnixNano() // the steady clock tells no time of day
-	return &wire.WhyReply{Decisions: a.signed(append(e.kept.flow(src, dst), d))}, nil
+	return append(e.kept.flow(src, dst), d)
 }
 
 // signed names this entry in its decisions.
