--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -73,21 +73,3 @@
 	}
 	return errors.Join(dir.Sync(), dir.Close())
 }
-
-// probeName is the file that Probe writes.
-const probeName = "probe"
-
-// Probe reports whether the folder takes writes: it writes a file, syncs it and
-// removes it. An error is of kind DataFolder.
-func Probe(files Files) error {
-	const size = 4096 // a block: fewer bytes may find room where a record does not
-	f, err := files.Create(probeName)
-	if err != nil {
-		return diskFault("make probe", err)
-	}
-	_, err = f.Write(make([]byte, size))
-	if err = errors.Join(err, f.Sync(), f.Close(), files.Remove(probeName)); err != nil {
-		return diskFault("write probe", err)
-	}
-	return nil
-}
--- a/internal/storage/storagetest/failing.go
+++ b/internal/storage/storagetest/failing.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	write, sync := file.Write, file.Sync
+	write, flush := file.Write, file.Sync
 	file.Write = func(data []byte) (int, error) {
 		if err := f.wait(); err != nil {
 			return 0, err
@@ -71,7 +71,7 @@
 	}
 	file.Sync = func() error {
 		_ = f.wait() // a full disk still syncs what it has
-		return sync()
+		return flush()
 	}
 	return file, nil
 }
