The answers of diff and why lag for scripts are declared at the head

Cause: types stood between functions, one condition was asked twice, and cmdDiff and printLag did two jobs each. Done: types moved; differences and printLagging are functions. Output as before.

--- a/internal/cmd/cmd_history.go
+++ b/internal/cmd/cmd_history.go
@@ -13,6 +13,13 @@
 	"oxbowsaddle/internal/wire"
 )
 
+// difference is what a change altered in one object.
+type difference struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	What string `json:"what"`
+}
+
 // cmdHistory lists accepted changes.
 func cmdHistory() *cobra.Command {
 	return cmdAsk("history", "list the accepted changes, the oldest first", 0, func(ctx context.Context, a asking) error {
@@ -52,13 +59,6 @@
 	return nil, fault.New(fault.NotFound, "revision %d is no accepted change that is remembered", number)
 }
 
-// difference is what a change altered in one object.
-type difference struct {
-	Kind string `json:"kind"`
-	Name string `json:"name"`
-	What string `json:"what"`
-}
-
 // cmdDiff shows what a change altered.
 func cmdDiff() *cobra.Command {
 	return cmdAsk("diff REVISION", "show what an accepted change altered", 1, func(ctx context.Context, a asking) error {
@@ -66,14 +66,7 @@
 		if err != nil {
 			return err
 		}
-		var all []difference
-		for n, o := range h.Change.Objects {
-			what := "new"
-			if before := h.Before[n]; !before.Remove {
-				what = intent.Difference(before.Body, o.Body)
-			}
-			all = append(all, difference{o.Kind, o.Name, what})
-		}
+		all := differences(h)
 		if a.json {
 			return PrintJSON(a.out, all)
 		}
@@ -84,6 +77,19 @@
 	})
 }
 
+// differences returns what a change altered, in the order of its objects.
+func differences(h *wire.HistoryEntry) []difference {
+	var all []difference
+	for n, o := range h.Change.Objects {
+		what := "new"
+		if before := h.Before[n]; !before.Remove {
+			what = intent.Difference(before.Body, o.Body)
+		}
+		all = append(all, difference{o.Kind, o.Name, what})
+	}
+	return all
+}
+
 // cmdRevert offers what a change altered as it was before, as a new change.
 func cmdRevert() *cobra.Command {
 	var a change
--- a/internal/cmd/cmd_template.go
+++ b/internal/cmd/cmd_template.go
@@ -47,12 +47,13 @@
 			return err
 		}
 		for _, o := range templates {
-			if o.Object.Name == a.args[0] && a.json {
-				return PrintJSON(a.out, json.RawMessage(o.Object.Body))
+			if o.Object.Name != a.args[0] {
+				continue
 			}
-			if o.Object.Name == a.args[0] {
-				return printTemplate(a.out, o)
+			if a.json {
+				return PrintJSON(a.out, json.RawMessage(o.Object.Body))
 			}
+			return printTemplate(a.out, o)
 		}
 		return fault.New(fault.NotFound, "there is no template %q", a.args[0])
 	})
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -13,6 +13,13 @@
 	"oxbowsaddle/internal/wire"
 )
 
+// lagging is the answer of `why lag` for a script.
+type lagging struct {
+	ByLeader bool                 `json:"by_leader"` // false: nothing is known of the members
+	Revision uint64               `json:"revision"`
+	Members  []*wire.MemberStatus `json:"members"`
+}
+
 // cmdWhy explains decisions.
 func cmdWhy() *cobra.Command {
 	c := &cobra.Command{Use: "why", Short: "explain a flow, a request, or what operators ask most"}
@@ -113,13 +120,6 @@
 	})
 }
 
-// lagging is the answer of `why lag` for a script.
-type lagging struct {
-	ByLeader bool                 `json:"by_leader"` // false: nothing is known of the members
-	Revision uint64               `json:"revision"`
-	Members  []*wire.MemberStatus `json:"members"`
-}
-
 // laggingMembers returns the members that hold no lease or lack something.
 func laggingMembers(s *wire.StatusReply) []*wire.MemberStatus {
 	return slices.DeleteFunc(slices.Clone(s.Members), func(m *wire.MemberStatus) bool { return m.Leased && m.Applied >= s.Commit })
@@ -133,12 +133,7 @@
 	}
 	behind := laggingMembers(s)
 	for _, m := range behind {
-		silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
-		if !m.Leased {
-			fmt.Fprintf(w, "%s in %s holds no lease, silent for %s; it decides nothing new. Look at its network and its log.\n", m.Name, m.Domain, silent)
-			continue
-		}
-		fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, s.Commit, silent)
+		printLagging(w, m, s.Commit)
 	}
 	if len(behind) == 0 {
 		fmt.Fprintf(w, "nobody lags: all %d entries have applied %d, in use is %d\n", len(s.Members), s.Commit, s.Active)
@@ -146,6 +141,16 @@
 	return nil
 }
 
+// printLagging tells what one member lacks of the last revision.
+func printLagging(w io.Writer, m *wire.MemberStatus, commit uint64) {
+	silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
+	if !m.Leased {
+		fmt.Fprintf(w, "%s in %s holds no lease, silent for %s; it decides nothing new. Look at its network and its log.\n", m.Name, m.Domain, silent)
+		return
+	}
+	fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, commit, silent)
+}
+
 func cmdWhyDrain() *cobra.Command {
 	return cmdAsk("drain ENDPOINT", "tell what a leaving endpoint still waits for", 1, func(ctx context.Context, a asking) error {
 		s, err := askStatus(ctx, a.client, false)
