--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -72,7 +72,8 @@
 		return fault.New(fault.InvalidSettings, "settings: serves: an entry serves callers")
 	}
 	entry := node.NewEntry(node.EntryConfig{
-		Name: s.Name, Domain: s.Domain, Packets: s.Packets, Operators: s.Operators, Seeds: s.Seeds, MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
+		Name: s.Name, Domain: s.Domain, Packets: s.Packets, Operators: s.Operators, Seeds: s.Seeds,
+		MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
 		Codec: node.Codec{Decode: platform.DecodePacket, Forward: platform.ForwardPacket, Reset: platform.ResetPacket},
 		Log:   p.log, Now: node.SteadyClock(),
 	})
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -31,14 +31,14 @@
 func (e *Entry) choosePrimary() {
 	e.mu.Lock()
 	before, changed := e.primary.choose(slices.Sorted(maps.Keys(e.links)))
-	now, last := e.links[e.primary.chosen], e.links[before]
+	chosen, last := e.links[e.primary.chosen], e.links[before]
 	e.mu.Unlock()
 	if !changed {
 		return
 	}
 	// A link that fails is noticed where it is read; another one is chosen then.
-	if now != nil {
-		_ = now.subscribe(false)
+	if chosen != nil {
+		_ = chosen.subscribe(false)
 	}
 	if last != nil {
 		_ = last.subscribe(true)
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -64,6 +64,12 @@
 		}
 		return Steered
 	}
+	return s.explainOpening(now, d, r, p)
+}
+
+// explainOpening fills in what would be done with an opening packet now, and
+// returns why.
+func (s *Steerer) explainOpening(now time.Time, d *wire.Decision, r *route, p Packet) Reason {
 	d.Recomputed = true
 	b := s.choose(now, r, p, nil)
 	switch {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -120,11 +120,7 @@
 	if r == nil {
 		return Decision{Action: Reset, Reason: NoRoute, Seq: p.Ack}
 	}
-	f := s.flows[flowKey{p.Src, p.Dst}]
-	if f != nil && f.first != p.Seq {
-		s.end(f)
-		f = nil
-	}
+	f := s.opened(p)
 	if f != nil && !s.abandon(now, f, p) {
 		return f.backend.forward(Repeated)
 	}
@@ -148,6 +144,17 @@
 	return b.forward(Placed)
 }
 
+// opened returns the flow that an opening packet is a copy for, nil where it is
+// the first one; a flow between the same addresses that began otherwise ends.
+func (s *Steerer) opened(p Packet) *flow {
+	f := s.flows[flowKey{p.Src, p.Dst}]
+	if f != nil && f.first != p.Seq {
+		s.end(f)
+		return nil
+	}
+	return f
+}
+
 // abandon reports whether a copy goes to another endpoint: there is evidence
 // that the first one is silent, or it is the last copy.
 func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
