A test of a disk that is 40 times slower

An order is acknowledged with the leader's or a follower's disk at 100 ms a write and 100 ms a sync, and all hold it afterwards. Nothing is timed.

--- a/internal/node/disk_test.go
+++ b/internal/node/disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/onsi/ginkgo/v2"
@@ -52,6 +53,19 @@
 		Eventually(func() uint64 { return stalled.Status().Version }, patience).Should(Equal(uint64(2)))
 	})
 
+	ginkgo.It("acknowledge on while a disk is 40 times slower, the leader's or another", func() {
+		begin(45, 3)
+		const slow = 100 * time.Millisecond // a write and a sync together take 40 times the 5 ms of the machines
+		for version, r := range []*runningControl{fleet.leader(), fleet.follower()} {
+			r.disk.SetDelay(slow)
+			fleet.order(uint64(2 + version))
+			r.disk.SetDelay(0)
+		}
+		for _, r := range fleet {
+			Eventually(func() uint64 { return r.Status().Version }, patience).Should(Equal(uint64(3)))
+		}
+	})
+
 	ginkgo.It("give the vote of one whose disk refuses every write to another one", func() {
 		begin(43, 4)
 		Eventually(voters, patience).Should(HaveLen(3))
--- a/internal/storage/storagetest/failing.go
+++ b/internal/storage/storagetest/failing.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"time"
 
 	"oxbowsaddle/internal/storage"
 )
@@ -10,13 +11,14 @@
 // ErrFull is returned by every write while the disk is full.
 var ErrFull = errors.New("no space left")
 
-// Failing is a data folder whose disk can be made full or made to stand still;
-// several goroutines may use it.
+// Failing is a data folder whose disk can be made full, slow, or made to stand
+// still; several goroutines may use it.
 type Failing struct {
 	open func() (storage.Files, error)
 
 	mu     sync.Mutex
 	full   bool
+	delay  time.Duration // of each write and sync
 	stands chan struct{} // closed once the disk goes on, nil while it does
 }
 
@@ -31,6 +33,13 @@
 	f.full = full
 }
 
+// SetDelay makes each write and each sync take so much longer.
+func (f *Failing) SetDelay(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = delay
+}
+
 // Stall makes every write and sync wait until goOn is called.
 func (f *Failing) Stall() (goOn func()) {
 	f.mu.Lock()
@@ -76,14 +85,15 @@
 	return file, nil
 }
 
-// wait waits while the disk stands still, and then says whether it is full.
+// wait waits as long as the disk takes, and then says whether it is full.
 func (f *Failing) wait() error {
 	f.mu.Lock()
-	stands := f.stands
+	stands, delay := f.stands, f.delay
 	f.mu.Unlock()
 	if stands != nil {
 		<-stands
 	}
+	time.Sleep(delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.full {
