--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -5,38 +5,52 @@
 	"testing"
 	"time"
 
-	"github.com/onsi/gomega"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 
 	"oxbowsaddle/internal/explain"
 	"oxbowsaddle/internal/wire"
 	"oxbowsaddle/internal/work"
 )
 
-// TestFindKeepsTheOrder holds steps of the same instant in the order in which
-// they were taken, also once the ring has gone round.
-func TestFindKeepsTheOrder(t *testing.T) {
-	g := gomega.NewWithT(t)
-	ring := explain.NewRing[*wire.Decision](4)
-	for i := range 6 {
-		ring.Add(&wire.Decision{Subject: "s", Action: strconv.Itoa(i)})
-	}
-	actions := func(most int) string {
-		text := ""
-		for _, d := range ring.Find(most, func(*wire.Decision) bool { return true }) {
-			text += d.Action
-		}
-		return text
-	}
-	g.Expect(actions(9)).To(gomega.Equal("2345"))
-	g.Expect(actions(2)).To(gomega.Equal("45"))
+func TestExplain(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "explain")
 }
 
-func TestWorkNamesWhatDecided(t *testing.T) {
-	g := gomega.NewWithT(t)
-	e := work.Event{Token: []byte{0xab, 1}, State: work.Refused, Cause: work.QueueFull}
-	d := explain.Work(time.Unix(1, 0), "plateau-1", e, "e1", 9, 7)
-	g.Expect(d.Subject).To(gomega.Equal("ab01"))
-	g.Expect(d.Index).To(gomega.Equal(uint64(9)))
-	g.Expect(d.Active).To(gomega.Equal(uint64(7)))
-	g.Expect(d.NextStep).To(gomega.ContainSubstring("queue_limit"))
-}
+var _ = Describe("a Ring", func() {
+	all := func(*wire.Decision) bool { return true }
+
+	It("holds steps of the same instant in the order in which they were taken, also once it has gone round", func() {
+		ring := explain.NewRing[*wire.Decision](4)
+		for i := range 6 {
+			ring.Add(&wire.Decision{Subject: "s", Action: strconv.Itoa(i)})
+		}
+		actions := func(most int) string {
+			text := ""
+			for _, d := range ring.Find(most, all) {
+				text += d.Action
+			}
+			return text
+		}
+		Expect(actions(9)).To(Equal("2345"))
+		Expect(actions(2)).To(Equal("45"))
+	})
+
+	It("finds only what was kept before it has gone round", func() {
+		ring := explain.NewRing[int](4)
+		ring.Add(0)
+		Expect(ring.Find(9, func(n int) bool { return n == 0 })).To(Equal([]int{0}), "not the empty places")
+	})
+})
+
+var _ = Describe("an explained step of a request", func() {
+	It("names what decided", func() {
+		e := work.Event{Token: []byte{0xab, 1}, State: work.Refused, Cause: work.QueueFull}
+		d := explain.Work(time.Unix(1, 0), "plateau-1", e, "e1", 9, 7)
+		Expect(d.Subject).To(Equal("ab01"))
+		Expect(d.Index).To(Equal(uint64(9)))
+		Expect(d.Active).To(Equal(uint64(7)))
+		Expect(d.NextStep).To(ContainSubstring("queue_limit"))
+	})
+})
