--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 GOLANGCI_LINT_VERSION ?= v2.15.0
 FUZZTIME ?= 20s
 
-.PHONY: help build demo test lint tools bench generate man soak slopes fuzz bench-platform
+.PHONY: help build demo test lint tools bench generate man soak slopes fuzz bench-platform experiment
 
 help: ## list the targets
 	@grep -E '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
@@ -40,6 +40,9 @@
 slopes: ## measure the slopes that docs/CAPACITY.md stands on
 	go run ./tools slopes --out docs/slopes
 
+experiment: ## print experiments again from the journal: make experiment ARGS='--why "..."'
+	@go run ./tools experiment $(ARGS)
+
 fuzz: ## fuzz the decoders, the settings reader, the configuration reader, the log and reports
 	go test ./internal/packet -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 	go test ./internal/settings -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
--- /dev/null
+++ b/tools/experiment.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/journal"
+)
+
+// cmdExperiment prints what the committed journal says of experiments.
+func cmdExperiment() *cobra.Command {
+	var folder, why, score string
+	c := &cobra.Command{
+		Use: "experiment", Short: "print scores and paired comparisons from the journal", Args: cobra.NoArgs,
+		Long: "With --why, pairs the plays that carry this reason: the sources that were played first against the others.\n" +
+			"With --scores, prints the scores that carry it, day by day. Without either, lists the reasons.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			entries, err := journal.Load(folder)
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			switch {
+			case why != "":
+				err = printComparison(out, journal.Compare(entries, why))
+			case score != "":
+				err = printScores(out, entries, score)
+			default:
+				printReasons(out, entries)
+			}
+			return err
+		},
+	}
+	c.Flags().StringVar(&folder, "journal", "journal", "folder of the journal")
+	c.Flags().StringVar(&why, "why", "", "reason of the plays to compare")
+	c.Flags().StringVar(&score, "scores", "", "reason of the scores to print")
+	return c
+}
+
+// printComparison prints a row for each day, as Markdown.
+func printComparison(out io.Writer, rows []journal.Difference) error {
+	if len(rows) == 0 {
+		return fault.New(fault.NotFound, "no pairs of plays carry that reason")
+	}
+	fmt.Fprintln(out, "| site | day | pairs | worth before | after | difference | better / worse | failed | worst windows | days with a broken rule |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|---|---|")
+	for _, d := range rows {
+		fmt.Fprintf(out, "| %s | %s | %d | %.4f | %.4f | %+.4f ± %.4f | %d / %d | %+.4f | %+.3f | %d |\n",
+			d.Site, d.Day, d.Pairs, d.Before, d.After, d.Mean, d.Error, d.Better, d.Worse, d.Failed, d.Windows, d.Broken)
+	}
+	return nil
+}
+
+// printScores prints the days of each score, as Markdown.
+func printScores(out io.Writer, entries []journal.Entry, why string) error {
+	entries = slices.DeleteFunc(entries, func(e journal.Entry) bool { return e.Why != why || e.Score == nil })
+	if len(entries) == 0 {
+		return fault.New(fault.NotFound, "no scores carry that reason")
+	}
+	fmt.Fprintln(out, "| site (score) | day | worth | served | refused | failed | two worst windows | prices |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|---|")
+	for _, e := range entries {
+		for _, d := range e.Days {
+			fmt.Fprintf(out, "| %s (%.3f) | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.4f |\n",
+				e.Site, *e.Score, d.Name, d.Worth, d.Served, d.Refused, d.Failed, d.Part("worst windows"), d.Priced())
+		}
+	}
+	return nil
+}
+
+// printReasons lists the reasons with how many plays carry each.
+func printReasons(out io.Writer, entries []journal.Entry) {
+	count := map[string]int{}
+	var order []string
+	for _, e := range entries {
+		if count[e.Why] == 0 {
+			order = append(order, e.Why)
+		}
+		count[e.Why]++
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	for _, why := range order {
+		fmt.Fprintf(table, "%d\t%s\n", count[why], why)
+	}
+	_ = table.Flush() // to a terminal or a file that is full
+}
--- a/tools/main.go
+++ b/tools/main.go
@@ -11,5 +11,5 @@
 )
 
 func main() {
-	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr, cmdLoad(), cmdSlopes(), cmdMan()))
+	os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr, cmdLoad(), cmdSlopes(), cmdMan(), cmdExperiment()))
 }
