A heartbeat that was held back ends no living endpoint

Cause: of two incarnations at an address the registry ended for good the one that it had heard earlier; a heartbeat that a cut held back until its sender had ended and a new one had its address so ended the living one, and entries reset its flows. Now neither ends because the other came: one ends after 2.6 silent periods since both are known, while the other goes on. Ruled out: ordering by the time of arrival or by estimated starts (a late message carries neither), ending by proof of a second heartbeat alone (several may be held back and come together).

--- /dev/null
+++ b/internal/registry/address_test.go
@@ -0,0 +1,192 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// tick is how often a registry is swept.
+const tick = 200 * time.Millisecond
+
+// delivery is a heartbeat on its way to one of the control instances.
+type delivery struct {
+	at   time.Time
+	to   int
+	beat Endpoint
+}
+
+// pair is two control instances that tell each other what they hear.
+type pair struct {
+	now        time.Time
+	registries [2]*Registry
+	sent       [2]uint64
+}
+
+func newPair() *pair {
+	return &pair{now: start, registries: [2]*Registry{New(Config{Beat: beat}, start), New(Config{Beat: beat}, start)}}
+}
+
+// run lets time pass until the end, with the deliveries that fall due, an
+// exchange and a sweep each tick; each is called after every tick.
+func (p *pair) run(end time.Time, due []delivery, each func()) {
+	for ; p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, d := range due {
+			if !d.at.Before(p.now) && d.at.Before(p.now.Add(tick)) {
+				p.registries[d.to].Hear(p.now, d.beat)
+			}
+		}
+		for i, r := range p.registries {
+			reports := r.Beats(p.now, p.sent[i])
+			p.sent[i] = reports.Number
+			p.registries[1-i].Merge(p.now, reports)
+		}
+		for _, r := range p.registries {
+			r.Sweep(p.now)
+		}
+		each()
+	}
+}
+
+// beats returns the heartbeats of an endpoint that lives from begin to end.
+func beats(id string, begin, end time.Time, change func(*Endpoint)) []delivery {
+	var all []delivery
+	for at, sequence := begin, uint64(1); at.Before(end); at, sequence = at.Add(beat), sequence+1 {
+		all = append(all, delivery{at: at, to: int(sequence % 2), beat: endpoint(id, sequence, change)})
+	}
+	return all
+}
+
+func (p *pair) gone(id string) []bool {
+	var all []bool
+	for _, r := range p.registries {
+		m := find(r.Changes(p.now, 0), id)
+		all = append(all, m != nil && m.Gone)
+	}
+	return all
+}
+
+func (p *pair) silent(id string) []bool {
+	var all []bool
+	for _, r := range p.registries {
+		all = append(all, find(r.Changes(p.now, 0), id).Silent)
+	}
+	return all
+}
+
+var _ = Describe("two incarnations at one address", func() {
+	yes, no := []bool{true, true}, []bool{false, false}
+
+	It("does not end the one that lives by a heartbeat that was held back", func() {
+		r := New(Config{Beat: beat}, start)
+		r.Hear(start, endpoint("new", 1, nil))
+		r.Hear(start.Add(beat), endpoint("new", 2, nil))
+		r.Hear(start.Add(beat+time.Millisecond), endpoint("old", 1, nil))
+		_, taken := r.Hear(start.Add(2*beat), endpoint("new", 3, nil))
+		Expect(taken).To(BeTrue())
+		Expect(find(r.Changes(start, 0), "new").Gone).To(BeFalse())
+	})
+
+	It("does not end it by one that is repeated, nor by several that come together", func() {
+		living := beats("new", start, start.Add(time.Minute), nil)
+		for _, at := range []time.Duration{5 * beat, 5*beat + tick, 6 * beat, 9 * beat} {
+			for sequence := uint64(1); sequence <= 3; sequence++ {
+				living = append(living, delivery{at: start.Add(at), to: int(sequence % 2), beat: endpoint("old", sequence, nil)})
+			}
+		}
+		p := newPair()
+		p.run(start.Add(20*beat), living, func() { Expect(p.gone("new")).To(Equal(no)) })
+		Expect(p.gone("old")).To(Equal(yes))
+		Expect(p.silent("new")).To(Equal(no))
+	})
+
+	It("ends the one that has ended once it has been silent and the other goes on", func() {
+		p := newPair()
+		due := append(beats("old", start, start.Add(4*beat), nil), beats("new", start.Add(7*beat), start.Add(time.Minute), nil)...)
+		p.run(start.Add(14*beat), due, func() {})
+		Expect(p.gone("old")).To(Equal(yes))
+		Expect(p.gone("new")).To(Equal(no))
+	})
+
+	It("holds with the address in another service, and with a late leaving one", func() {
+		other := func(e *Endpoint) { e.Service = "documents" }
+		due := beats("new", start, start.Add(time.Minute), other)
+		due = append(due, delivery{at: start.Add(5 * beat), to: 0, beat: endpoint("old", 4, leaving)})
+		p := newPair()
+		p.run(start.Add(5*beat+2*tick), due, func() { Expect(p.gone("new")).To(Equal(no)) })
+		Expect(find(p.registries[1].Changes(p.now, 0), "old").Leaving).To(BeTrue())
+		Expect(find(p.registries[1].Changes(p.now, 0), "new").Leaving).To(BeFalse())
+		p.run(start.Add(20*beat), due, func() { Expect(p.gone("new")).To(Equal(no)) })
+		Expect(p.gone("old")).To(Equal(yes))
+	})
+
+	It("takes the leave of one of them for that one alone", func() {
+		r := New(Config{Beat: beat}, start)
+		r.Hear(start, endpoint("new", 1, nil))
+		r.Hear(start, endpoint("old", 1, nil))
+		number := r.Leave(start, "old")
+		Expect(find(r.Changes(start, number-1), "old").Gone).To(BeTrue())
+		Expect(find(r.Changes(start, 0), "new").Gone).To(BeFalse())
+	})
+
+	It("doubts the one that was known first until it is heard again, and from then on the other", func() {
+		p := newPair()
+		due := append(beats("new", start, start.Add(time.Minute), nil), delivery{at: start.Add(5*beat + tick), to: 1, beat: endpoint("old", 1, nil)})
+		p.run(start.Add(5*beat+3*tick), due, func() {})
+		Expect(p.silent("old")).To(Equal(no))
+		Expect(p.silent("new")).To(Equal(yes))
+		p.run(start.Add(6*beat+3*tick), due, func() {})
+		Expect(p.silent("new")).To(Equal(no))
+		Expect(p.silent("old")).To(Equal(yes))
+	})
+
+	It("begins anew after a pause of the process, which may have missed heartbeats", func() {
+		r := New(Config{Beat: beat}, start)
+		r.Hear(start, endpoint("new", 5, nil))
+		r.Hear(start, endpoint("old", 1, nil))
+		r.Hear(start, endpoint("old", 2, nil))
+		thawed := start.Add(10 * beat)
+		r.Hear(thawed, endpoint("old", 3, nil)) // was held back too
+		r.Sweep(thawed)
+		Expect(find(r.Changes(thawed, 0), "new").Gone).To(BeFalse())
+		r.Hear(thawed.Add(beat/2), endpoint("new", 18, nil))
+		r.Sweep(thawed.Add(beat))
+		Expect(find(r.Changes(thawed, 0), "new").Silent).To(BeFalse())
+	})
+
+	It("never ends the one that lives, whatever the order in which the other's heartbeats come", func() {
+		for seed := range uint64(200) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			born := start.Add(time.Duration(random.Int64N(int64(6 * beat))))
+			due := beats("new", born, start.Add(time.Minute), nil)
+			for range 1 + random.IntN(12) {
+				at := start.Add(time.Duration(random.Int64N(int64(24 * beat))))
+				late := endpoint("old", 1+random.Uint64N(9), nil)
+				if random.IntN(4) == 0 {
+					late.Leaving = true
+				}
+				due = append(due, delivery{at: at, to: random.IntN(2), beat: late})
+			}
+			random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+			p := newPair()
+			p.run(start.Add(40*beat), due, func() { Expect(p.gone("new")).To(Equal(no), fmt.Sprint("seed ", seed)) })
+			Expect(p.gone("old")).To(Equal(yes), fmt.Sprint("seed ", seed))
+		}
+	})
+
+	It("tells a control instance that joins both, and lets it settle them itself", func() {
+		first := New(Config{Beat: beat}, start)
+		first.Hear(start, endpoint("new", 2, nil))
+		first.Hear(start, endpoint("old", 1, nil))
+		joined := New(Config{Beat: beat}, start.Add(tick))
+		joined.Merge(start.Add(tick), &wire.Reports{Endpoints: first.Changes(start.Add(tick), 0).Endpoints})
+		for _, id := range []string{"new", "old"} {
+			Expect(find(joined.Changes(start.Add(tick), 0), id).Gone).To(BeFalse(), id)
+		}
+	})
+})
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -19,8 +19,15 @@
 		r.Merge(now, &wire.Reports{Endpoints: []*wire.EndpointReport{
 			{Id: "a", Sequence: 9, Address: "10.0.0.1:80", AgeNanos: int64(5 * beat)},
 		}})
+		Expect(find(r.Changes(now, 0), "a").Silent).To(BeTrue())
+		for n := range uint64(4) {
+			now = now.Add(beat)
+			r.Hear(now, endpoint("b", n+2, nil))
+			r.Sweep(now)
+		}
 		Expect(find(r.Changes(now, 0), "a").Gone).To(BeTrue())
 		Expect(find(r.Changes(now, 0), "b").Gone).To(BeFalse())
+		Expect(find(r.Changes(now, 0), "b").Silent).To(BeFalse())
 	})
 
 	It("counts the age that a peer tells", func() {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -49,11 +49,12 @@
 		config  Config
 		started time.Time
 		records map[string]*record
-		living  map[netip.AddrPort]*record // by address, those that have not ended
-		changes *list.List                 // records, the one that changed last at the back
-		beats   *list.List                 // records, the one that was heard last at the back
-		number  uint64                     // of the last heartbeat or change
-		digest  Digest                     // of all records
+		living  map[netip.AddrPort][]*record // by address, those that are not known to have ended
+		changes *list.List                   // records, the one that changed last at the back
+		beats   *list.List                   // records, the one that was heard last at the back
+		number  uint64                       // of the last heartbeat or change
+		swept   time.Time                    // when silence was last looked for
+		digest  Digest                       // of all records
 	}
 
 	// record is what is known of one incarnation.
@@ -61,6 +62,9 @@
 		endpoint       Endpoint
 		heard          time.Time
 		silent         bool
+		rivalSince     time.Time     // when another incarnation at the address was first known, zero for none
+		incumbent      bool          // known before the other one
+		heardAgain     bool          // heard with a higher sequence since then
 		summed         Endpoint      // as the registry's digest has it
 		changed        uint64        // number of the last change that entries must know
 		silenceChanged uint64        // number of the last change that was about silence
@@ -73,7 +77,7 @@
 // New returns an empty registry.
 func New(c Config, now time.Time) *Registry {
 	return &Registry{
-		config: c, started: now, records: map[string]*record{}, living: map[netip.AddrPort]*record{},
+		config: c, started: now, swept: now, records: map[string]*record{}, living: map[netip.AddrPort][]*record{},
 		changes: list.New(), beats: list.New(),
 	}
 }
@@ -95,26 +99,30 @@
 	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
 		return max(held.changed, held.peersChanged), false
 	}
-	heard := now.Add(-age)
-	if r.supersede(now, e, heard) {
-		e.Gone = true
-	}
 	r.number++
-	changed := held == nil || material(held.endpoint, e) || held.silent
+	changed := held == nil || material(held.endpoint, e)
 	if held == nil {
 		held = &record{}
 		r.records[e.ID] = held
+	} else {
+		held.heardAgain = !held.rivalSince.IsZero()
 	}
-	if held.silent {
-		held.silenceChanged = r.number
+	if held.endpoint.Addr != e.Addr {
+		r.vacate(held)
 	}
-	held.endpoint, held.silent = e, false
-	if heard.After(held.heard) {
+	held.endpoint = e
+	if heard := now.Add(-age); heard.After(held.heard) {
 		held.heard = heard
 	}
-	r.settle(held)
+	r.settle(now, held)
 	if changed {
 		r.noteForPeers(held)
+	}
+	if r.quiet(now, held) != held.silent {
+		r.setSilent(held, !held.silent)
+		changed = true
+	}
+	if changed {
 		r.noteForEntries(now, held)
 	}
 	return r.number, true
@@ -127,36 +135,6 @@
 	return a != b
 }
 
-// supersede settles which of the incarnations at one address lives, when one
-// is heard of for the first time: an address is given away only after its
-// endpoint has ended, so it is the one that was heard last. It reports whether
-// the new one is not that.
-func (r *Registry) supersede(now time.Time, e Endpoint, heard time.Time) (ended bool) {
-	if e.Gone || r.records[e.ID] != nil {
-		return false
-	}
-	other := r.living[e.Addr]
-	if other == nil {
-		return false
-	}
-	if other.heard.After(heard) {
-		return true
-	}
-	r.end(now, other)
-	return false
-}
-
-// settle keeps the index of the living by address.
-func (r *Registry) settle(held *record) {
-	addr := held.endpoint.Addr
-	switch {
-	case !held.endpoint.Gone:
-		r.living[addr] = held
-	case r.living[addr] == held:
-		delete(r.living, addr)
-	}
-}
-
 // noteForPeers notes that peers must learn of the record.
 func (r *Registry) noteForPeers(held *record) {
 	held.peersChanged = r.number
@@ -176,7 +154,7 @@
 func (r *Registry) end(now time.Time, held *record) {
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
-	r.settle(held)
+	r.settle(now, held)
 	r.noteForPeers(held)
 	r.noteForEntries(now, held)
 }
@@ -215,29 +193,41 @@
 	return held.changed
 }
 
-// Sweep marks endpoints that fell silent and drops records that nothing needs.
+// Sweep marks endpoints that fell silent, ends those whose address is known to
+// be another one's, and drops records that nothing needs.
 func (r *Registry) Sweep(now time.Time) {
-	silent := time.Duration(silentBeats * float64(r.config.Beat))
+	r.excuse(now)
 	for id, held := range r.records {
-		age := now.Sub(held.heard)
-		if age > forgetBeats*r.config.Beat {
+		if now.Sub(held.heard) > forgetBeats*r.config.Beat {
 			r.forget(id, held)
 			continue
 		}
-		if quiet := age > silent && !held.endpoint.Gone; quiet != held.silent {
+		if r.displaced(now, held) {
+			r.end(now, held)
+		}
+		if r.quiet(now, held) != held.silent {
 			r.number++
-			held.silent, held.silenceChanged = quiet, r.number
+			r.setSilent(held, !held.silent)
 			r.noteForEntries(now, held)
 		}
 	}
 }
 
+// quiet reports whether new flows avoid an endpoint, since heartbeats are
+// missing or another one claims its address.
+func (r *Registry) quiet(now time.Time, held *record) bool {
+	return !held.endpoint.Gone && (now.Sub(held.heard) > r.span(silentBeats) || r.doubted(held))
+}
+
+// setSilent notes a change of silence under the registry's present number.
+func (r *Registry) setSilent(held *record, silent bool) {
+	held.silent, held.silenceChanged = silent, r.number
+}
+
 // forget drops a record that nothing needs.
 func (r *Registry) forget(id string, held *record) {
 	delete(r.records, id)
-	if r.living[held.endpoint.Addr] == held {
-		delete(r.living, held.endpoint.Addr)
-	}
+	r.vacate(held)
 	r.digest.Add(held.summed)
 	r.changes.Remove(held.inChanges)
 	r.beats.Remove(held.inBeats)
