Connections that fall silent: a table, tests for each of them, a soak; calls end by themselves

Links are now opened by a seam, and tests silence them one way and both, between entries and control instances and among these; with the bound on silence at an hour they do not pass. New: a body that does not come, or an answer that is not taken, ended no call of an operator or endpoint on our side; both end after 12 s now.

--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -75,7 +75,7 @@
 		Name: s.Name, Domain: s.Domain, Packets: s.Packets, Operators: s.Operators, Seeds: s.Seeds,
 		MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
 		Codec: node.Codec{Decode: platform.DecodePacket, Forward: platform.ForwardPacket, Reset: platform.ResetPacket},
-		Log:   p.log, Now: node.SteadyClock(),
+		Dial:  node.DialTCP, Log: p.log, Now: node.SteadyClock(),
 	})
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
 	running, end := context.WithCancel(running)
@@ -115,7 +115,7 @@
 	control := node.NewControl(node.ControlConfig{
 		Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First,
 		Files:  func() (storage.Files, error) { return storage.Folder(s.Data) },
-		Voters: perLoss*s.Losses + 1, Beat: s.Beat, Log: p.log, Now: node.SteadyClock(),
+		Voters: perLoss*s.Losses + 1, Beat: s.Beat, Dial: node.DialTCP, Log: p.log, Now: node.SteadyClock(),
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return control.Run(ctx) })
--- a/internal/cmd/platform_http.go
+++ b/internal/cmd/platform_http.go
@@ -15,6 +15,10 @@
 const (
 	// headerTimeout ends a call whose header does not come.
 	headerTimeout = 2 * time.Second
+	// httpCallTimeout ends a call on a connection that fell silent: a body that does
+	// not come, an answer that is not taken. An order of some 15,000 routes over
+	// a link of 2 Mbit/s takes 8 s; callers turn elsewhere after one.
+	httpCallTimeout = 12 * time.Second
 	// keptOpen ends a connection between calls, above an endpoint's
 	// heartbeat period.
 	keptOpen = 10 * time.Second
@@ -35,8 +39,15 @@
 	if err != nil {
 		return fault.Wrap(fault.AddressInUse, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keptOpen}
+	server := newHTTPServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return server.Serve(listener)
 }
+
+// newHTTPServer returns a server that no connection holds up for ever.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: httpCallTimeout, WriteTimeout: httpCallTimeout, IdleTimeout: keptOpen,
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -33,6 +33,7 @@
 		Voters int           // wanted voters
 		Beat   time.Duration // heartbeat period of endpoints
 		Log    *log.Logger
+		Dial   Dialer // DialTCP, but for tests
 		Now    func() time.Time
 	}
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -41,6 +41,7 @@
 		Grace     time.Duration    // a planned stop must end within it
 		Beat      time.Duration    // heartbeat period of endpoints
 		Codec     Codec
+		Dial      Dialer // DialTCP, but for tests
 		Log       *log.Logger
 		Now       func() time.Time
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -57,6 +57,11 @@
 
 // startFleet starts n control instances on loopback addresses of their own.
 func startFleet(subnet byte, n, voters int, tempDir func() string, logger *log.Logger) controlFleet {
+	return startFleetBy(subnet, n, voters, tempDir, logger, DialTCP)
+}
+
+// startFleetBy starts one whose instances open links by dial.
+func startFleetBy(subnet byte, n, voters int, tempDir func() string, logger *log.Logger, dial Dialer) controlFleet {
 	var all controlFleet
 	var seeds []netip.AddrPort
 	for i := range n {
@@ -67,7 +72,7 @@
 		}
 		r := &runningControl{config: ControlConfig{
 			Domain: fmt.Sprint("d", i%3), Peer: peer, Front: fmt.Sprint("front-", i), Voters: voters,
-			Beat: time.Second, Log: logger, Now: SteadyClock(),
+			Beat: time.Second, Dial: dial, Log: logger, Now: SteadyClock(),
 		}}
 		r.lose(tempDir())
 		r.config.First = true
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -22,10 +22,15 @@
 	unackedMost = time.Second
 )
 
-// linkConn is a connection of a link: one that stands still ends.
-type linkConn struct {
-	net.Conn
-}
+type (
+	// Dialer opens a connection to a control instance.
+	Dialer func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+
+	// linkConn is a connection of a link: one that stands still ends.
+	linkConn struct {
+		net.Conn
+	}
+)
 
 // Read reads what comes within linkIdle.
 func (c linkConn) Read(p []byte) (int, error) {
@@ -56,11 +61,16 @@
 	return failed
 }
 
+// DialTCP is the Dialer that processes use.
+func DialTCP(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // dialLink opens a link to a control instance and returns what closes it; the
 // caller then says hello. An error is of kind Unreachable.
-func dialLink(ctx context.Context, address string, timeout time.Duration) (wire.DRPCDirectory_LinkClient, func(), error) {
-	dialer := net.Dialer{Timeout: timeout, Control: limitUnacked}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+func dialLink(ctx context.Context, dial Dialer, address string, timeout time.Duration) (wire.DRPCDirectory_LinkClient, func(), error) {
+	raw, err := dial(ctx, address, timeout)
 	if err != nil {
 		return nil, nil, fault.Wrap(fault.Unreachable, err)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -110,7 +110,7 @@
 
 // serve sends until the link fails.
 func (l *peerLink) serve(ctx context.Context) error {
-	stream, done, err := dialLink(ctx, l.address, l.redial.next())
+	stream, done, err := dialLink(ctx, l.control.config.Dial, l.address, l.redial.next())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/node/silence_test.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var (
+	silenceSeed   = flag.Uint64("silence.seed", 1, "seed of the soak of connections that fall silent")
+	silenceRounds = flag.Int("silence.rounds", 5, "how often that soak silences connections")
+)
+
+type (
+	// silencer opens connections and silences those that are open.
+	silencer struct {
+		mu   sync.Mutex
+		open []*silentConn
+	}
+
+	// silentConn is a connection that may fall silent, one way or both: what is
+	// written then goes nowhere, and what comes is not read.
+	silentConn struct {
+		net.Conn
+		mu      sync.Mutex
+		out, in bool
+	}
+)
+
+// dial is a Dialer.
+func (s *silencer) dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	raw, err := DialTCP(ctx, address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &silentConn{Conn: raw}
+	s.open = append(s.open, c)
+	return c, nil
+}
+
+// silence makes the open connections that are chosen fall silent for good.
+func (s *silencer) silence(chosen func() bool, out, in bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		if chosen() {
+			c.mu.Lock()
+			c.out, c.in = c.out || out, c.in || in
+			c.mu.Unlock()
+		}
+	}
+	s.open = nil
+}
+
+func (c *silentConn) silent() (out, in bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.out, c.in
+}
+
+// Write loses what is written once the way out is silent.
+func (c *silentConn) Write(p []byte) (int, error) {
+	if out, _ := c.silent(); out {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Read drops what comes once the way in is silent, until the deadline.
+func (c *silentConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if _, in := c.silent(); !in || err != nil {
+			return n, err
+		}
+	}
+}
+
+// runningEntry is an entry that knows control instances.
+func runningEntry(fleet controlFleet, name string, dial Dialer) *Entry {
+	e := NewEntry(EntryConfig{
+		Name: name, Domain: "d0", Packets: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: fleet[0].config.Seeds, MaxFlow: time.Minute,
+		Beat: time.Second, Dial: dial, Log: log.New(io.Discard), Now: SteadyClock(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ginkgo.DeferCleanup(cancel)
+	go func() { _ = e.Run(ctx) }()
+	return e
+}
+
+var _ = ginkgo.Describe("connections that fall silent", func() {
+	var fleet controlFleet
+	var entry *Entry
+	var peers, links *silencer
+	version := uint64(0)
+	all := func() bool { return true }
+
+	order := func() {
+		version++
+		fleet.order(version)
+	}
+	inForce := func() {
+		Eventually(entry.version, patience, 5*time.Millisecond).Should(Equal(version))
+	}
+
+	ginkgo.BeforeEach(func() {
+		version = 0
+		peers, links = &silencer{}, &silencer{}
+		fleet = startFleetBy(31, 3, 3, ginkgo.GinkgoT().TempDir, log.New(io.Discard), peers.dial)
+		ginkgo.DeferCleanup(fleet.stop)
+		entry = runningEntry(fleet, "e1", links.dial)
+		order()
+		inForce()
+	})
+
+	for _, way := range []struct {
+		name    string
+		out, in bool
+	}{{"both ways", true, true}, {"away from who opened it", true, false}, {"towards who opened it", false, true}} {
+		ginkgo.It("between an entry and the control instances are found and replaced: "+way.name, func() {
+			links.silence(all, way.out, way.in)
+			order()
+			inForce()
+		})
+
+		ginkgo.It("among control instances are found and replaced: "+way.name, func() {
+			peers.silence(all, way.out, way.in)
+			order()
+			inForce()
+			Eventually(func() error { return acknowledgedLeave(fleet) }, patience).Should(Succeed())
+		})
+	}
+
+	ginkgo.It("end at the side that accepted them too", func() {
+		Eventually(func() int { return fleet[0].entries.count() }, patience).Should(Equal(1))
+		links.silence(all, true, true)
+		entry.watch.setSeeds(context.Background(), nil) // nobody opens new ones to the seeds
+		Eventually(func() int { return fleet[0].entries.count() }, patience).Should(BeZero())
+	})
+
+	ginkgo.It("lose nothing acknowledged, in any order and number", func() {
+		random := rand.New(rand.NewPCG(*silenceSeed, 3))
+		for round := range *silenceRounds {
+			way := 1 + random.IntN(3)
+			share := random.Float64()
+			chosen := func() bool { return random.Float64() < share }
+			peers.silence(chosen, way&1 > 0, way&2 > 0)
+			links.silence(chosen, way&1 > 0, way&2 > 0)
+			order()
+			inForce()
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			Eventually(func() error {
+				doc, _, err := fleet.leaderOrFirst().Read(ctx)
+				if err == nil && doc.Version() < version {
+					ginkgo.Fail(fmt.Sprintf("round %d: version %d was read after %d was acknowledged", round, doc.Version(), version))
+				}
+				return err
+			}, patience).Should(Succeed())
+			cancel()
+		}
+	})
+})
+
+// acknowledgedLeave has an endpoint leave, at any of the control instances.
+func acknowledgedLeave(fleet controlFleet) error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return fleet[0].Leave(ctx, "i-1")
+}
+
+// leaderOrFirst returns the instance that leads, or any while none does.
+func (f controlFleet) leaderOrFirst() *runningControl {
+	if leader := f.leader(); leader != nil {
+		return leader
+	}
+	return f[0]
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -103,7 +103,7 @@
 
 // follow takes what a control instance sends until the link fails.
 func (w *watch) follow(ctx, all context.Context, address string, pace *redial) error {
-	stream, done, err := dialLink(ctx, address, pace.next())
+	stream, done, err := dialLink(ctx, w.entry.config.Dial, address, pace.next())
 	if err != nil {
 		return err
 	}
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -39,7 +39,7 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(cancel)
-		w = newWatch(NewEntry(EntryConfig{Log: log.New(io.Discard), Now: SteadyClock()}))
+		w = newWatch(NewEntry(EntryConfig{Dial: DialTCP, Log: log.New(io.Discard), Now: SteadyClock()}))
 		w.setSeeds(ctx, []netip.AddrPort{netip.MustParseAddrPort(nowhere(1)), netip.MustParseAddrPort(nowhere(2))})
 	})
 	linked := func() []string { return slices.Sorted(maps.Keys(w.links)) }
