Attempts at control instances overlap while nobody is linked

Cause: after a loss of power an attempt that began before its host was back held the address up for as long as it might take, up to 320 ms by then. Ruled out: shorter attempts one after the other (a host farther away than the limit is never reached).

--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -67,13 +67,9 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// dialLink opens a link to a control instance and returns what closes it; the
-// caller then says hello. An error is of kind Unreachable.
-func dialLink(ctx context.Context, dial Dialer, address string, timeout time.Duration) (wire.DRPCDirectory_LinkClient, func(), error) {
-	raw, err := dial(ctx, address, timeout)
-	if err != nil {
-		return nil, nil, fault.Wrap(fault.Unreachable, err)
-	}
+// openLink opens a link on a connection to a control instance and returns what
+// closes it; the caller then says hello. An error is of kind Unreachable.
+func openLink(ctx context.Context, raw net.Conn) (wire.DRPCDirectory_LinkClient, func(), error) {
 	conn := drpcconn.New(linkConn{raw})
 	done := func() { _ = conn.Close() }
 	stream, err := wire.NewDRPCDirectoryClient(conn).Link(ctx)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -15,6 +15,13 @@
 	e.choosePrimary()
 }
 
+// linked reports whether any control instance can be asked.
+func (e *Entry) linked() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.links) > 0
+}
+
 // locate takes from a roster, whose sender comes first, where the sender is.
 func (e *Entry) locate(source string, roster *wire.Roster) {
 	if len(roster.Instances) == 0 {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,9 +4,11 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/wire"
 )
 
@@ -22,6 +24,8 @@
 		mu    sync.Mutex
 		seeds []string
 		links map[string]*peerLink // by address
+
+		linked atomic.Int32 // how many stand
 	}
 
 	// peerLink sends to the control instance at one address.
@@ -73,6 +77,9 @@
 	}
 }
 
+// alone reports whether no link stands.
+func (p *peerLinks) alone() bool { return p.linked.Load() == 0 }
+
 // post queues a message of the log.
 func (p *peerLinks) post(m *wire.LogMessage) {
 	p.mu.Lock()
@@ -110,10 +117,16 @@
 
 // serve sends until the link fails.
 func (l *peerLink) serve(ctx context.Context) error {
-	stream, done, err := dialLink(ctx, l.control.config.Dial, l.address, l.redial.next())
+	raw, err := l.redial.dial(ctx, l.control.config.Dial, l.address, l.control.peers.alone())
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err)
+	}
+	stream, done, err := openLink(ctx, raw)
 	if err != nil {
 		return err
 	}
+	l.control.peers.linked.Add(1)
+	defer l.control.peers.linked.Add(-1)
 	if err := stream.Send(helloFrame(&wire.Hello{Id: l.control.Status().Self, Control: true})); err != nil {
 		done()
 		return err
--- a/internal/node/redial.go
+++ b/internal/node/redial.go
@@ -1,32 +1,89 @@
 package node
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
 
 const (
-	// dialFirst is how long the first attempt at an address may take. It is
-	// short, since a host without power says nothing and may be back within
-	// a moment: several times the round trip between failure domains. Each
-	// failed attempt doubles it up to dialMost, for slow hosts.
-	dialFirst = 40 * time.Millisecond
-	dialMost  = 500 * time.Millisecond
+	// dialEvery is how soon an attempt at an address is followed by another one
+	// beside it, while nobody is linked: a host without power says nothing, an
+	// attempt that began before it is back is not answered, and it may be back
+	// within a moment. Several times the round trip between failure domains.
+	dialEvery = 40 * time.Millisecond
+	// dialMost is how long attempts may take, for slow hosts.
+	dialMost = 500 * time.Millisecond
 	// redialAfter is the pause between two attempts at one address.
 	redialAfter = 20 * time.Millisecond
 )
 
 // redial paces the attempts at one address.
 type redial struct {
-	timeout time.Duration // of the next attempt, 0 for dialFirst
+	timeout time.Duration // of the next attempt, 0 for dialEvery
 }
 
-// next returns how long the next attempt may take.
-func (r *redial) next() time.Duration {
+// dial opens a connection. Where nobody else is linked, attempts overlap: the
+// first one that is answered counts. Otherwise one is made, for twice as long as
+// the one before.
+func (r *redial) dial(ctx context.Context, dial Dialer, address string, alone bool) (net.Conn, error) {
+	if alone {
+		return dialOverlapping(ctx, dial, address)
+	}
 	if r.timeout == 0 {
-		r.timeout = dialFirst
+		r.timeout = dialEvery
 	}
 	now := r.timeout
 	r.timeout = min(2*r.timeout, dialMost)
-	return now
+	return dial(ctx, address, now)
 }
 
 // reached makes the next attempt a first one again.
 func (r *redial) reached() { r.timeout = 0 }
+
+// dialOverlapping makes attempts beside each other for dialMost in all.
+func dialOverlapping(ctx context.Context, dial Dialer, address string) (net.Conn, error) {
+	type attempt struct {
+		conn net.Conn
+		err  error
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialMost)
+	attempts := make(chan attempt)
+	pending := 0
+	defer func() {
+		cancel()
+		go closeLate(pending, func() net.Conn { return (<-attempts).conn })
+	}()
+	next := time.NewTicker(dialEvery)
+	defer next.Stop()
+	begin := func() {
+		pending++
+		go func() {
+			conn, err := dial(ctx, address, dialMost)
+			attempts <- attempt{conn, err}
+		}()
+	}
+	begin()
+	for {
+		select {
+		case a := <-attempts:
+			pending--
+			if a.err == nil || pending == 0 {
+				return a.conn, a.err // with nothing under way, the host is up and refuses
+			}
+		case <-next.C:
+			if ctx.Err() == nil {
+				begin()
+			}
+		}
+	}
+}
+
+// closeLate closes the connections of attempts that another one has overtaken.
+func closeLate(pending int, next func() net.Conn) {
+	for range pending {
+		if conn := next(); conn != nil {
+			_ = conn.Close()
+		}
+	}
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -103,7 +103,11 @@
 
 // follow takes what a control instance sends until the link fails.
 func (w *watch) follow(ctx, all context.Context, address string, pace *redial) error {
-	stream, done, err := dialLink(ctx, w.entry.config.Dial, address, pace.next())
+	raw, err := pace.dial(ctx, w.entry.config.Dial, address, !w.entry.linked())
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err)
+	}
+	stream, done, err := openLink(ctx, raw)
 	if err != nil {
 		return err
 	}
