Endpoints that leave packets unanswered are asked, and flows of those out of reach are reset

Cause of most failed requests beside losses of power: a request waits on a long flow of an endpoint that has gone dark until its deadline, and missing heartbeats tell after 3.1 s. Ruled out as evidence alone: repeated data (packets overtake each other, requests queue).

--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -75,7 +75,7 @@
 		Name: s.Name, Domain: s.Domain, Packets: s.Packets, Operators: s.Operators, Seeds: s.Seeds,
 		MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
 		Codec: node.Codec{Decode: platform.DecodePacket, Forward: platform.ForwardPacket, Reset: platform.ResetPacket},
-		Dial:  node.DialTCP, Log: p.log, Now: node.SteadyClock(),
+		Dial:  node.DialTCP, Knock: node.KnockTCP, Log: p.log, Now: node.SteadyClock(),
 	})
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
 	running, end := context.WithCancel(running)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -42,6 +42,7 @@
 		Beat      time.Duration    // heartbeat period of endpoints
 		Codec     Codec
 		Dial      Dialer // DialTCP, but for tests
+		Knock     Knock  // KnockTCP, but for tests
 		Log       *log.Logger
 		Now       func() time.Time
 	}
@@ -55,6 +56,7 @@
 		counts    packetCounts
 		kept      *keptRing
 		timings   entryTimings
+		questions chan steer.Question
 
 		choosing sync.Mutex // held while the primary is chosen and told; taken before mu
 
@@ -77,12 +79,14 @@
 	e := &Entry{
 		config: c, kept: newKeptRing(), timings: newEntryTimings(), fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{},
 		flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce),
+		questions: make(chan steer.Question, questionsAtOnce),
 	}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
 			c.Log.Warn("endpoint suspected", "endpoint", id, "suspect", suspect)
 		},
+		Ask: e.ask,
 	})
 	e.watch = newWatch(e)
 	return e
@@ -100,6 +104,7 @@
 	defer stop()
 	e.watch.setSeeds(ctx, e.config.Seeds)
 	group.Go(func() error { return e.packetLoop(ctx, conn) })
+	group.Go(func() error { return e.questionLoop(ctx, conn) })
 	group.Go(func() error { return e.serveOperators(ctx) })
 	return group.Wait()
 }
--- /dev/null
+++ b/internal/node/questions.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"oxbowsaddle/internal/steer"
+)
+
+const (
+	// questionTime is how long an endpoint has to accept a connection: some
+	// hundred round trips within a region, and two between regions.
+	questionTime = 100 * time.Millisecond
+	// questionLate is how much longer a question may take before this process
+	// itself is to blame, and its outcome says nothing.
+	questionLate = 50 * time.Millisecond
+	// questionsAtOnce bounds the questions that are under way.
+	questionsAtOnce = 32
+)
+
+// Knock reports whether a connection to an address is accepted in time; it is
+// closed at once, and carries nothing.
+type Knock func(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool
+
+// KnockTCP is the Knock that processes use.
+func KnockTCP(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool {
+	dialer := net.Dialer{Timeout: timeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
+// ask queues a question without waiting; one that finds the queue full counts
+// as one without an outcome.
+func (e *Entry) ask(q steer.Question) bool {
+	select {
+	case e.questions <- q:
+		return true
+	default:
+		return false
+	}
+}
+
+// questionLoop asks endpoints whether they can be reached until the context ends.
+func (e *Entry) questionLoop(ctx context.Context, conn *net.UDPConn) error {
+	free := make(chan struct{}, questionsAtOnce)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case q := <-e.questions:
+			free <- struct{}{}
+			go func() {
+				e.settleQuestion(ctx, conn, q)
+				<-free
+			}()
+		}
+	}
+}
+
+// settleQuestion asks one question, and resets the flows that end by its outcome.
+func (e *Entry) settleQuestion(ctx context.Context, conn *net.UDPConn, q steer.Question) {
+	began := e.config.Now()
+	reached := e.config.Knock(ctx, q.Addr, questionTime)
+	if !reached {
+		// A refusal comes at once; the time shows whether others answer meanwhile.
+		wait := time.NewTimer(questionTime - e.config.Now().Sub(began))
+		defer wait.Stop()
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+	}
+	now := e.config.Now()
+	outcome := steer.Reached
+	switch took := now.Sub(began); {
+	case reached:
+	case took > questionTime+questionLate:
+		outcome = steer.Unsure
+	default:
+		outcome = steer.Missed
+	}
+	e.mu.Lock()
+	ended := e.steerer.Answered(now, q, outcome)
+	e.mu.Unlock()
+	e.config.Log.Info("endpoint asked", "endpoint", q.ID, "address", q.Addr, "why", q.Why, "outcome", outcome, "took", now.Sub(began), "flows_reset", len(ended))
+	var buf []byte
+	for _, f := range ended {
+		caller := netip.AddrPortFrom(f.Src.Addr(), e.config.Packets.Port())
+		// What cannot be sent is lost, as on any link; the caller's next packet is reset.
+		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(buf[:0], steer.Packet{Src: f.Src, Dst: f.Dst}, f.Seq), caller)
+	}
+}
--- /dev/null
+++ b/internal/node/questions_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/steer"
+)
+
+var _ = ginkgo.Describe("questions to endpoints", func() {
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	var reached bool
+	var e *Entry
+	ginkgo.BeforeEach(func() {
+		reached = false
+		e = NewEntry(EntryConfig{
+			Log: log.New(io.Discard), Now: SteadyClock(), Dial: DialTCP,
+			Knock: func(context.Context, netip.AddrPort, time.Duration) bool { return reached },
+		})
+	})
+
+	ginkgo.It("are asked beside each other, and leave a full queue alone", func() {
+		for range questionsAtOnce {
+			Expect(e.ask(steer.Question{ID: "a", Addr: at})).To(BeTrue())
+		}
+		Expect(e.ask(steer.Question{ID: "a", Addr: at})).To(BeFalse())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		reached = true
+		go func() { _ = e.questionLoop(ctx, nil) }()
+		Eventually(func() int { return len(e.questions) }, patience).Should(BeZero())
+	})
+
+	ginkgo.It("take their time where a connection is refused at once, so that others can answer meanwhile", func() {
+		began := time.Now()
+		e.settleQuestion(context.Background(), nil, steer.Question{ID: "a", Addr: at})
+		Expect(time.Since(began)).To(BeNumerically(">=", questionTime))
+	})
+
+	ginkgo.It("are answered by whoever accepts connections, without a byte", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		addr := listener.Addr().(*net.TCPAddr).AddrPort()
+		Expect(KnockTCP(context.Background(), addr, patience)).To(BeTrue())
+		Expect(listener.Close()).To(Succeed())
+		Expect(KnockTCP(context.Background(), addr, patience)).To(BeFalse())
+	})
+})
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -92,7 +92,7 @@
 func runningEntry(fleet controlFleet, name string, dial Dialer) *Entry {
 	e := NewEntry(EntryConfig{
 		Name: name, Domain: "d0", Packets: netip.MustParseAddrPort("127.0.0.1:0"), Seeds: fleet[0].config.Seeds, MaxFlow: time.Minute,
-		Beat: time.Second, Dial: dial, Log: log.New(io.Discard), Now: SteadyClock(),
+		Beat: time.Second, Dial: dial, Knock: KnockTCP, Log: log.New(io.Discard), Now: SteadyClock(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ginkgo.DeferCleanup(cancel)
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -42,6 +42,8 @@
 	unanswered   int // flows in a row that were not answered
 	suspectFor   time.Duration
 	suspectUntil time.Time
+
+	reach reach
 }
 
 // answered takes the evidence that the endpoint answers; it reports whether
@@ -66,7 +68,7 @@
 
 // suspect reports whether flows avoid it, as long as there are others.
 func (b *backend) suspect(now time.Time) bool {
-	return b.silent || now.Before(b.suspectUntil)
+	return b.silent || b.reach.lost || now.Before(b.suspectUntil)
 }
 
 // open reports whether new flows may go to it at all.
--- a/internal/steer/decision.go
+++ b/internal/steer/decision.go
@@ -22,6 +22,7 @@
 	NoEndpoint                 // no endpoint may take the flow
 	UnknownTag                 // no endpoint is known by the tag
 	EndpointGone               // the flow's endpoint has ended
+	EndpointLost               // the flow's endpoint cannot be reached from here
 	Malformed                  // the packet cannot be read, or no caller sends such
 
 	// ReasonCount is how many there are.
@@ -53,7 +54,7 @@
 	actionNames = [...]string{"drop", "forward", "reset"}
 	reasonNames = [ReasonCount]string{
 		"placed", "repeated", "replaced", "steered", "corrected", "no_table", "no_route", "route_dropped",
-		"no_endpoint", "unknown_tag", "endpoint_gone", "malformed",
+		"no_endpoint", "unknown_tag", "endpoint_gone", "endpoint_lost", "malformed",
 	}
 )
 
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -24,6 +24,7 @@
 	RouteDropped: "bring the route back if the flow should live on",
 	NoEndpoint:   "start endpoints of the service, or keep some from leaving",
 	EndpointGone: "nothing: its caller opens another flow",
+	EndpointLost: "look at the endpoint, and at the network to its failure domain",
 }
 
 // Explain tells what the Steerer remembers of a flow, or, where it remembers
@@ -143,6 +144,9 @@
 	if now.Before(b.warmUntil) {
 		verdict += ", still slow"
 	}
+	if b.reach.lost {
+		verdict += ", avoided: it accepts no connection from here"
+	}
 	if b.silent {
 		verdict += ", avoided: no control instance hears it"
 	}
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -26,6 +26,7 @@
 	moved   bool          // copies went to two endpoints
 	busy    bool          // a request waits for its answer
 	asked   uint32        // seq after the last request
+	askedAt time.Time     // when its last packet came first
 	acked   uint32        // ack of the last packet
 	resting *list.Element // of Steerer.resting
 	opening *list.Element // of Steerer.opening, nil once the flow is answered or counted
@@ -33,14 +34,29 @@
 
 // remember begins the record of a flow that was placed.
 func (s *Steerer) remember(now time.Time, p Packet, b *backend) {
+	f := s.record(now, p, b)
+	f.asked = p.Seq + 1
+	f.opening = s.opening.PushBack(f)
+}
+
+// adopt begins the record of an open flow that another entry carried so far, or
+// this one before its restart.
+func (s *Steerer) adopt(now time.Time, p Packet, b *backend) *flow {
+	f := s.record(now, p, b)
+	f.open, f.asked, f.acked = true, p.Seq, p.Ack
+	return f
+}
+
+// record begins a record; the one that has rested longest makes room.
+func (s *Steerer) record(now time.Time, p Packet, b *backend) *flow {
 	if len(s.flows) >= s.config.MaxFlows {
 		s.end(s.resting.Front().Value.(*flow))
 	}
-	f := &flow{key: flowKey{p.Src, p.Dst}, backend: b, first: p.Seq, opened: now, seen: now, asked: p.Seq + 1}
+	f := &flow{key: flowKey{p.Src, p.Dst}, backend: b, first: p.Seq, opened: now, seen: now}
 	f.resting = s.resting.PushBack(f)
-	f.opening = s.opening.PushBack(f)
 	s.flows[f.key] = f
 	b.flows++
+	return f
 }
 
 // move notes that a copy went to another endpoint.
@@ -57,19 +73,25 @@
 	f.seen = now
 	s.resting.MoveToBack(f.resting)
 	if !f.open && b != nil {
-		s.settle(f, b)
+		s.settle(now, f, b)
 	}
 	if p.Flags.Has(Fin) || p.Flags.Has(Rst) {
 		s.end(f)
 		return
 	}
-	if f.busy && int32(p.Ack-f.acked) > 0 {
+	if int32(p.Ack-f.acked) > 0 {
+		s.alive(now, f.backend)
 		f.setBusy(false)
 	}
 	f.acked = p.Ack
-	if end := p.Seq + uint32(p.Len); p.Len > 0 && int32(end-f.asked) > 0 {
-		f.asked = end
+	if p.Len == 0 {
+		return
+	}
+	if end := p.Seq + uint32(p.Len); int32(end-f.asked) > 0 {
+		f.asked, f.askedAt = end, now
 		f.setBusy(true)
+	} else if f.busy && now.Sub(f.askedAt) >= answerWithin { // sooner, packets have only overtaken each other
+		s.doubt(now, f.backend, Unacked)
 	}
 }
 
@@ -92,7 +114,8 @@
 }
 
 // settle binds the flow to the endpoint whose answer the caller took.
-func (s *Steerer) settle(f *flow, b *backend) {
+func (s *Steerer) settle(now time.Time, f *flow, b *backend) {
+	s.alive(now, b)
 	f.bind(b)
 	f.open = true
 	s.stopWaiting(f)
@@ -138,6 +161,7 @@
 func (s *Steerer) sweep(now time.Time) {
 	s.countUnanswered(now)
 	s.forgetResting(now)
+	s.askLost(now)
 	if !now.Before(s.forgetAt) {
 		s.forgetAt = now.Add(forgetEvery)
 		s.forgetDropped(now)
@@ -154,6 +178,7 @@
 			break
 		}
 		s.stopWaiting(f)
+		s.doubt(now, f.backend, Unopened)
 		if f.backend.leftUnanswered(now) {
 			s.suspected(f.backend, true)
 		}
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -22,6 +22,9 @@
 		if b := s.byID[m.Id]; b != nil {
 			heard[m.Id] = m.Silent
 			s.settleSilence(b)
+			if b.silent {
+				s.doubt(now, b, Unheard)
+			}
 		}
 	}
 	s.whole = s.whole || reports.Whole
@@ -107,9 +110,11 @@
 	}
 	if b.Gone && b.goneAt.IsZero() {
 		b.goneAt = now
+		delete(s.lost, b)
 	}
 	if b.Leaving && b.leavingAt.IsZero() {
 		b.leavingAt = now
+		s.found(b) // it said so a moment ago, and may accept no connection from now on
 	}
 	b.warmUntil = now.Add(e.Warm)
 }
--- /dev/null
+++ b/internal/steer/reach.go
@@ -0,0 +1,190 @@
+package steer
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// missesToLose is how many questions in a row an endpoint leaves without an
+	// answer before it counts as out of reach: one may be a lost packet.
+	missesToLose = 2
+	// askAgainAfter is how soon an endpoint that has answered is asked again: a
+	// question is a new connection, and evidence may come with every packet.
+	askAgainAfter = 500 * time.Millisecond
+	// unsureMost is how many questions without an outcome are followed by another
+	// one before new evidence must come.
+	unsureMost = 5
+	// lostFirst and lostMost bound how long after it was lost an endpoint is
+	// asked whether it is back; the span doubles with each miss.
+	lostFirst = time.Second
+	lostMost  = 4 * time.Second
+	// missHolds is how long a miss is proof enough to reset a flow: within it an
+	// endpoint may come back, but no flow on it has lived through that unharmed.
+	missHolds = 1200 * time.Millisecond
+)
+
+// Why an endpoint is asked: the closed list.
+const (
+	Unopened Evidence = iota // an opening packet was not answered
+	Unacked                  // a caller repeats data on an open flow
+	Unheard                  // no control instance hears its heartbeats
+	Again                    // the last question was not answered
+	Lost                     // it was out of reach, and may be back
+)
+
+// What came of a question.
+const (
+	Reached Outcome = iota // a connection was accepted
+	Missed                 // none was, in time
+	Unsure                 // this entry was too slow to tell
+)
+
+var (
+	evidenceNames = [...]string{"unopened", "unacked", "unheard", "again", "lost"}
+	outcomeNames  = [...]string{"reached", "missed", "unsure"}
+)
+
+type (
+	// Evidence is why an endpoint is asked.
+	Evidence int
+
+	// Outcome is what came of a question.
+	Outcome int
+
+	// Question asks whether an endpoint can be reached: whether a connection to
+	// its address is accepted, which takes none of its slots.
+	Question struct {
+		ID    string
+		Addr  netip.AddrPort
+		Why   Evidence
+		began time.Time
+	}
+
+	// Ended is a flow that has ended with its endpoint; its caller is to be sent
+	// a reset.
+	Ended struct {
+		Src, Dst netip.AddrPort
+		Seq      uint32 // what the caller expects next
+	}
+
+	// reach is what an entry knows of whether an endpoint can be reached.
+	reach struct {
+		asking bool      // a question is under way
+		misses int       // questions in a row without an answer
+		unsure int       // questions in a row without an outcome
+		lost   bool      // it cannot be reached
+		missAt time.Time // when a question was missed last
+		askAt  time.Time // no question before
+		lifeAt time.Time // when it was last seen to answer
+	}
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// String returns the name of the evidence.
+func (e Evidence) String() string { return evidenceNames[e] }
+
+// doubt takes evidence that an endpoint may be out of reach, and asks it. One
+// that leaves is not asked: it may accept no connection and serve its flows.
+func (s *Steerer) doubt(now time.Time, b *backend, why Evidence) {
+	if s.config.Ask == nil || b.Gone || b.Leaving || b.reach.asking || now.Before(b.reach.askAt) || !b.Addr.IsValid() {
+		return
+	}
+	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, began: now})
+}
+
+// alive takes evidence that an endpoint answers callers.
+func (s *Steerer) alive(now time.Time, b *backend) {
+	b.reach.lifeAt, s.lifeAt = now, now
+	s.found(b)
+}
+
+// found notes that an endpoint can be reached.
+func (s *Steerer) found(b *backend) {
+	b.reach.misses = 0
+	if b.reach.lost {
+		b.reach.lost = false
+		delete(s.lost, b)
+		s.suspected(b, false)
+	}
+}
+
+// askLost asks endpoints that were out of reach whether they are back, so that
+// new flows may go to them again.
+func (s *Steerer) askLost(now time.Time) {
+	for b := range s.lost {
+		s.doubt(now, b, Lost)
+	}
+}
+
+// steerLost decides about a packet of a flow whose endpoint is out of reach. What
+// was found too long ago is found out again first.
+func (s *Steerer) steerLost(now time.Time, b *backend, p Packet) Decision {
+	if now.Sub(b.reach.missAt) > missHolds || p.Flags.Has(Rst) {
+		b.reach.askAt = time.Time{}
+		s.doubt(now, b, Lost)
+		return b.forward(Steered)
+	}
+	s.end(s.flows[flowKey{p.Src, p.Dst}])
+	return Decision{Action: Reset, Reason: EndpointLost, Seq: p.Ack, ID: b.ID}
+}
+
+// Answered takes the outcome of a question, and returns the flows that end by
+// it. A miss says nothing where this entry may be to blame: where no other
+// endpoint has answered anybody since the question was asked.
+func (s *Steerer) Answered(now time.Time, q Question, outcome Outcome) []Ended {
+	b := s.byID[q.ID]
+	if b == nil || b.Gone {
+		return nil
+	}
+	b.reach.asking = false
+	if outcome == Reached {
+		b.reach.askAt, b.reach.unsure = now.Add(askAgainAfter), 0
+		s.found(b)
+		return nil
+	}
+	if b.reach.lifeAt.After(q.began) || b.Leaving {
+		return nil
+	}
+	if outcome == Unsure || !s.lifeAt.After(q.began) {
+		if b.reach.unsure++; b.reach.unsure < unsureMost {
+			s.doubt(now, b, Again)
+		} else {
+			b.reach.unsure = 0
+		}
+		return nil
+	}
+	return s.missed(now, b)
+}
+
+// missed counts a question that was not answered.
+func (s *Steerer) missed(now time.Time, b *backend) []Ended {
+	b.reach.unsure, b.reach.missAt = 0, now
+	b.reach.misses++
+	if b.reach.misses < missesToLose {
+		s.doubt(now, b, Again)
+		return nil
+	}
+	b.reach.askAt = now.Add(min(lostFirst<<min(b.reach.misses-missesToLose, 8), lostMost))
+	if !b.reach.lost {
+		b.reach.lost = true
+		s.lost[b] = true
+		s.suspected(b, true)
+	}
+	return s.endFlows(b)
+}
+
+// endFlows ends the flows that are remembered of an endpoint.
+func (s *Steerer) endFlows(b *backend) []Ended {
+	var all []Ended
+	for key, f := range s.flows {
+		if f.backend != b || !f.open {
+			continue
+		}
+		all = append(all, Ended{Src: key.src, Dst: key.dst, Seq: f.acked})
+		s.end(f)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/steer/reach_test.go
@@ -0,0 +1,251 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/wire"
+)
+
+// asked keeps the questions that a Steerer has asked.
+type asked struct {
+	questions []Question
+	full      bool
+}
+
+func (a *asked) ask(q Question) bool {
+	if a.full {
+		return false
+	}
+	a.questions = append(a.questions, q)
+	return true
+}
+
+// take returns the oldest question.
+func (a *asked) take() Question {
+	Expect(a.questions).NotTo(BeEmpty())
+	q := a.questions[0]
+	a.questions = a.questions[1:]
+	return q
+}
+
+var _ = Describe("whether endpoints can be reached", func() {
+	const took = 100 * time.Millisecond
+	var s *Steerer
+	var a *asked
+	var now time.Time
+	var dead, other uint32 // tags of two flows
+
+	// request sends a request on a flow, or again the one before.
+	request := func(port uint16, tag, seq uint32) Decision { return s.Decide(now, later(port, tag, seq, 1, 10)) }
+	// otherLives has another endpoint answer a caller.
+	seq, ack := uint32(100), uint32(1)
+	otherLives := func() {
+		seq, ack = seq+10, ack+10
+		s.Decide(now, later(2000, other, seq, ack, 10))
+	}
+	// miss lets the oldest question go without an answer.
+	miss := func() []Ended {
+		q := a.take()
+		now = now.Add(took)
+		otherLives()
+		return s.Answered(now, q, Missed)
+	}
+
+	BeforeEach(func() {
+		a, now, seq, ack = &asked{}, start, 100, 1
+		s = New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 100, Beat: time.Second, Ask: a.ask})
+		s.SetDocument(now, testDocument(1, routeTo(bookingAddr, "booking"), routeTo(documentsAddr, "documents")))
+		s.Learn(now, "c1", reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil)))
+		first := s.Decide(now, opening(1000, 7, 0))
+		second := s.Decide(now, opening(2000, 7, 0))
+		dead, other = first.Tag, second.Tag
+		Expect(dead).NotTo(Equal(other))
+		now = now.Add(time.Millisecond)
+		request(1000, dead, 8)
+		request(2000, other, 8)
+	})
+
+	It("are asked when a caller repeats data, not when packets only overtake each other", func() {
+		now = now.Add(time.Millisecond)
+		request(1000, dead, 8)
+		Expect(a.questions).To(BeEmpty())
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		q := a.take()
+		Expect(q.ID).To(Equal(s.byTag[dead].ID))
+		Expect(q.Why).To(Equal(Unacked))
+		request(1000, dead, 8)
+		Expect(a.questions).To(BeEmpty(), "one question at a time")
+	})
+
+	It("are asked when an opening packet is not answered, and when no control instance hears them", func() {
+		s.Decide(now, opening(3000, 7, 0))
+		now = now.Add(2 * answerWithin)
+		s.Decide(now, later(2000, other, 18, 11, 0))
+		Expect(a.take().Why).To(Equal(Unopened))
+		silent := func(m *wire.EndpointReport) { m.Sequence, m.Silent = 2, true }
+		s.Learn(now, "c1", reports(report("documents", 3, silent)))
+		Expect(a.take().Why).To(Equal(Unheard))
+	})
+
+	It("end their flows after two misses in a row: at once those that are known, others at their next packet", func() {
+		s.Decide(now, later(4000, dead, 50, 3, 0)) // carried by another entry until now, and idle
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		Expect(miss()).To(BeEmpty())
+		Expect(a.questions).To(HaveLen(1))
+		Expect(a.questions[0].Why).To(Equal(Again))
+		Expect(miss()).To(Equal([]Ended{{Src: opening(1000, 0, 0).Src, Dst: bookingAddr, Seq: 1}}))
+
+		d := s.Decide(now, later(4000, dead, 50, 3, 10))
+		Expect(d).To(Equal(Decision{Action: Reset, Reason: EndpointLost, Seq: 3, ID: s.byTag[dead].ID}))
+		Expect(s.Decide(now, opening(5000, 7, 0)).Tag).To(Equal(other), "new flows avoid it")
+		Expect(s.byTag[dead].flows).To(BeZero())
+	})
+
+	It("keep their flows where this entry may be to blame: nobody else answers either", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		for range unsureMost {
+			q := a.take()
+			now = now.Add(took)
+			Expect(s.Answered(now, q, Missed)).To(BeEmpty())
+		}
+		Expect(a.questions).To(BeEmpty(), "until new evidence comes")
+		Expect(request(1000, dead, 8).Action).To(Equal(Forward))
+	})
+
+	It("keep them where this entry was too slow to tell, or the queue of questions was full", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		for range unsureMost {
+			q := a.take()
+			now = now.Add(5 * took)
+			otherLives()
+			Expect(s.Answered(now, q, Unsure)).To(BeEmpty())
+		}
+		a.full = true
+		now = now.Add(time.Second)
+		request(1000, dead, 8)
+		Expect(s.byTag[dead].reach.asking).To(BeFalse())
+		a.full = false
+		request(1000, dead, 8)
+		Expect(a.questions).To(HaveLen(1))
+	})
+
+	It("keep them where they answer a caller while they are asked, or a question", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		q := a.take()
+		s.Decide(now.Add(took/2), later(1000, dead, 18, 9, 0))
+		now = now.Add(took)
+		otherLives()
+		Expect(s.Answered(now, q, Missed)).To(BeEmpty())
+		Expect(a.questions).To(BeEmpty())
+
+		now = now.Add(time.Second)
+		request(1000, dead, 18)
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 18)
+		Expect(miss()).To(BeEmpty())
+		Expect(s.Answered(now, a.take(), Reached)).To(BeEmpty())
+		now = now.Add(askAgainAfter)
+		request(1000, dead, 18)
+		Expect(miss()).To(BeEmpty(), "misses are counted in a row")
+	})
+
+	It("are not asked while they leave: they may accept no connection and serve their flows", func() {
+		leaving := func(n int) *wire.EndpointReport {
+			return report("booking", n, func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 2, true })
+		}
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		q := a.take()
+		s.Learn(now, "c1", reports(leaving(1), leaving(2)))
+		now = now.Add(took)
+		otherLives()
+		Expect(s.Answered(now, q, Missed)).To(BeEmpty())
+		request(1000, dead, 8)
+		Expect(a.questions).To(BeEmpty())
+	})
+
+	It("are found again by a later question, and by a flow that they answer", func() {
+		lose := func() {
+			now = now.Add(lostMost)
+			request(1000, dead, 8)
+			now = now.Add(200 * time.Millisecond)
+			request(1000, dead, 8)
+			miss()
+			miss()
+			Expect(s.byTag[dead].reach.lost).To(BeTrue())
+		}
+		lose()
+		b := s.byTag[dead]
+		s.Decide(now, opening(6000, 7, 0))
+		now = now.Add(lostFirst)
+		otherLives()
+		s.Decide(now.Add(sweepEvery), opening(6001, 7, 0))
+		Expect(a.questions).To(ContainElement(And(HaveField("ID", b.ID), HaveField("Why", Lost))))
+		s.Answered(now, Question{ID: b.ID}, Reached)
+		a.questions = nil
+		Expect(b.reach.lost).To(BeFalse())
+		lose()
+		s.settle(now, &flow{backend: b}, b)
+		Expect(b.reach.lost).To(BeFalse())
+		lose()
+		s.Learn(now, "c1", reports(report("booking", int(b.Number), func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 2, true })))
+		Expect(b.reach.lost).To(BeFalse(), "it was heard to leave")
+	})
+
+	It("are asked again before a flow is reset by what was found long ago", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		miss()
+		miss()
+		now = now.Add(missHolds + time.Millisecond)
+		d := s.Decide(now, later(4000, dead, 50, 3, 10))
+		Expect(d.Action).To(Equal(Forward))
+		q := a.take()
+		Expect(q.Why).To(Equal(Lost))
+		now = now.Add(took)
+		otherLives()
+		Expect(s.Answered(now, q, Missed)).To(ConsistOf(HaveField("Src", opening(4000, 0, 0).Src)))
+	})
+
+	It("never end the flows of an endpoint that accepts connections, whatever callers repeat", func() {
+		for seed := range uint64(100) {
+			random := rand.New(rand.NewPCG(seed, 5))
+			a.questions = nil
+			for range 200 {
+				now = now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+				port, tag := uint16(1000), dead
+				if random.IntN(2) == 0 {
+					port, tag = 2000, other
+				}
+				var d Decision
+				switch random.IntN(3) {
+				case 0:
+					d = s.Decide(now, later(port, tag, 8+uint32(random.IntN(3)), uint32(random.IntN(30)), 10))
+				case 1:
+					d = s.Decide(now, opening(uint16(3000+random.IntN(50)), 7, random.IntN(3)))
+				default:
+					if len(a.questions) == 0 {
+						continue
+					}
+					outcome := Reached // a single packet of it may be lost
+					if q := a.take(); q.Why != Again {
+						outcome = []Outcome{Reached, Missed, Unsure}[random.IntN(3)]
+						Expect(s.Answered(now, q, outcome)).To(BeEmpty())
+					} else {
+						Expect(s.Answered(now, q, outcome)).To(BeEmpty())
+					}
+				}
+				Expect(d.Reason).NotTo(Equal(EndpointLost))
+			}
+		}
+	})
+})
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -38,6 +38,9 @@
 		// Suspected is called when an endpoint is avoided from now on, or no
 		// longer; nil where nobody listens.
 		Suspected func(id string, suspect bool)
+		// Ask has a question asked, without waiting; its outcome comes to
+		// Answered. It reports false where it is not asked; nil where nobody asks.
+		Ask func(Question) bool
 	}
 
 	// Steerer decides for one entry.
@@ -54,10 +57,12 @@
 		digest   registry.Digest            // of byID
 
 		flows    map[flowKey]*flow
-		resting  *list.List // flows, the longest at rest first
-		opening  *list.List // flows not answered yet, the oldest first
-		sweepAt  time.Time  // of the next sweep
-		forgetAt time.Time  // of the next forgetGone and forgetDropped
+		resting  *list.List        // flows, the longest at rest first
+		opening  *list.List        // flows not answered yet, the oldest first
+		sweepAt  time.Time         // of the next sweep
+		forgetAt time.Time         // of the next forgetGone and forgetDropped
+		lost     map[*backend]bool // those out of reach
+		lifeAt   time.Time         // when any endpoint was last seen to answer
 	}
 )
 
@@ -66,7 +71,7 @@
 	return &Steerer{
 		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
 		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
-		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(),
+		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(), lost: map[*backend]bool{},
 	}
 }
 
@@ -95,6 +100,9 @@
 		return Decision{Action: Reset, Reason: RouteDropped, Seq: p.Ack}
 	}
 	b, reason := s.byTag[p.Tag], Steered
+	if f == nil && b != nil && p.Len > 0 {
+		f = s.adopt(now, p, b)
+	}
 	if f != nil {
 		if f.moved && f.open {
 			b, reason = f.backend, Corrected
@@ -108,6 +116,9 @@
 		s.end(f)
 		return Decision{Action: Reset, Reason: EndpointGone, Seq: p.Ack, ID: b.ID}
 	}
+	if b.reach.lost && !b.Gone {
+		return s.steerLost(now, b, p)
+	}
 	return b.forward(reason)
 }
 
