Entries tell each other of endpoints that missed an answer

Cause: each entry waited for a caller of its own to wait on a dark endpoint before it asked; 0.38 s for the first, 1.2 s for the last of 12.

--- /dev/null
+++ b/internal/node/doubts_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"io"
+
+	"github.com/charmbracelet/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/steer"
+	"oxbowsaddle/internal/wire"
+)
+
+var _ = ginkgo.Describe("doubts about endpoints", func() {
+	ginkgo.It("go by a control instance to every entry but the one that tells, which asks for itself", func() {
+		fleet := startFleet(33, 3, 3, ginkgo.GinkgoT().TempDir, log.New(io.Discard))
+		ginkgo.DeferCleanup(fleet.stop)
+		teller, other := runningEntry(fleet, "e1", DialTCP), runningEntry(fleet, "e2", DialTCP)
+		known := &wire.Reports{Whole: true, Endpoints: []*wire.EndpointReport{{Id: "i-1", Service: "a", Address: "127.0.0.1:1", Sequence: 1, Slots: 1}}}
+		asks := make(chan steer.Question, 1)
+		other.mu.Lock()
+		other.steerer = steer.New(steer.Config{Ask: func(q steer.Question) bool {
+			asks <- q
+			return true
+		}})
+		other.steerer.Learn(other.config.Now(), "c", known)
+		other.mu.Unlock()
+		for _, r := range fleet {
+			Eventually(r.entries.count, patience).Should(Equal(2))
+		}
+		Eventually(func() bool {
+			teller.tell("i-1")
+			select {
+			case q := <-asks:
+				return q.ID == "i-1" && q.Why == steer.Told
+			default:
+				return false
+			}
+		}, patience).Should(BeTrue())
+	})
+
+	ginkgo.It("hold nobody up whose queue is full", func() {
+		l := newEntryList(SteadyClock())
+		slow := newEntryFeed(nil, nil, &wire.Hello{Id: "slow"})
+		l.heard(slow, 1)
+		for range 2 * doubtsWaiting {
+			l.spread(nil, "i-1")
+		}
+		Expect(slow.doubts).To(HaveLen(doubtsWaiting))
+	})
+})
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -57,6 +57,7 @@
 		kept      *keptRing
 		timings   entryTimings
 		questions chan steer.Question
+		doubts    chan string // ids of endpoints that other entries are to be told of
 
 		choosing sync.Mutex // held while the primary is chosen and told; taken before mu
 
@@ -79,14 +80,14 @@
 	e := &Entry{
 		config: c, kept: newKeptRing(), timings: newEntryTimings(), fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{},
 		flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce),
-		questions: make(chan steer.Question, questionsAtOnce),
+		questions: make(chan steer.Question, questionsAtOnce), doubts: make(chan string, questionsAtOnce),
 	}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
 			c.Log.Warn("endpoint suspected", "endpoint", id, "suspect", suspect)
 		},
-		Ask: e.ask,
+		Ask: e.ask, Tell: e.tell,
 	})
 	e.watch = newWatch(e)
 	return e
@@ -105,6 +106,7 @@
 	e.watch.setSeeds(ctx, e.config.Seeds)
 	group.Go(func() error { return e.packetLoop(ctx, conn) })
 	group.Go(func() error { return e.questionLoop(ctx, conn) })
+	group.Go(func() error { return e.doubtLoop(ctx) })
 	group.Go(func() error { return e.serveOperators(ctx) })
 	return group.Wait()
 }
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -64,6 +64,8 @@
 		if lacking := entry.takeReports(l.address, body.Reports); len(lacking) > 0 {
 			return l.send(&wire.Frame{Body: &wire.Frame_Records{Records: &wire.RecordsWant{Ids: lacking}}})
 		}
+	case *wire.Frame_Doubt:
+		entry.takeDoubt(body.Doubt.Id)
 	case *wire.Frame_Roster:
 		l.watch.takeRoster(ctx, l.address, body.Roster)
 		entry.locate(l.address, body.Roster)
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -17,6 +17,9 @@
 	// them whole: long enough for that one to have told them, and still far
 	// below the time that an entry has.
 	briefGap = 200 * time.Millisecond
+	// doubtsWaiting bounds the doubts that an entry has not been told of yet: more
+	// endpoints than a failure domain of the largest deployment played has.
+	doubtsWaiting = 64
 	// rosterEvery is how often an entry is told of the control instances: three
 	// times within linkIdle, so that its link stays while nothing changes.
 	rosterEvery = 2 * frameEvery
@@ -31,6 +34,7 @@
 	known   registry.Digest  // what the entry knew when the link began
 	wants   chan uint64      // the version that the entry holds, when it asks
 	records chan []string    // the endpoints that the entry asks for
+	doubts  chan string      // endpoints that another entry missed an answer of
 	modes   chan bool        // whether it is told briefly from now on
 	brief   bool             // another control instance tells it whole records
 	due     <-chan time.Time // when changes have gathered, nil while there are none
@@ -44,6 +48,7 @@
 		control: control, stream: stream, name: hello.Id, domain: hello.Domain,
 		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
 		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
+		doubts: make(chan string, doubtsWaiting),
 	}
 }
 
@@ -63,6 +68,8 @@
 			hand(ctx, f.records, body.Records.Ids)
 		case *wire.Frame_Subscription:
 			hand(ctx, f.modes, body.Subscription.Brief)
+		case *wire.Frame_Doubt:
+			f.control.entries.spread(f, body.Doubt.Id)
 		case *wire.Frame_Receipt:
 			f.control.entries.heard(f, body.Receipt.Version)
 		}
@@ -103,6 +110,8 @@
 			err = f.sendDocument(held)
 		case ids := <-f.records:
 			err = f.stream.Send(reportsFrame(f.control.endpoints.records(ids)))
+		case id := <-f.doubts:
+			err = f.stream.Send(doubtFrame(id))
 		case f.brief = <-f.modes:
 			err = f.sendReports()
 		case <-ticker.C:
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -19,6 +19,8 @@
 	// asked whether it is back; the span doubles with each miss.
 	lostFirst = time.Second
 	lostMost  = 4 * time.Second
+	// tellAgainAfter bounds what other entries are told of an endpoint.
+	tellAgainAfter = 2 * time.Second
 	// missHolds is how long a miss is proof enough to reset a flow: within it an
 	// endpoint may come back, but no flow on it has lived through that unharmed.
 	missHolds = 1200 * time.Millisecond
@@ -31,6 +33,7 @@
 	Unheard                  // no control instance hears its heartbeats
 	Again                    // the last question was not answered
 	Lost                     // it was out of reach, and may be back
+	Told                     // another entry missed an answer
 )
 
 // What came of a question.
@@ -41,7 +44,7 @@
 )
 
 var (
-	evidenceNames = [...]string{"unopened", "unacked", "unheard", "again", "lost"}
+	evidenceNames = [...]string{"unopened", "unacked", "unheard", "again", "lost", "told"}
 	outcomeNames  = [...]string{"reached", "missed", "unsure"}
 )
 
@@ -77,6 +80,7 @@
 		missAt time.Time // when a question was missed last
 		askAt  time.Time // no question before
 		lifeAt time.Time // when it was last seen to answer
+		tellAt time.Time // other entries are not told before
 	}
 )
 
@@ -156,13 +160,14 @@
 		}
 		return nil
 	}
-	return s.missed(now, b)
+	return s.missed(now, b, q.Why)
 }
 
 // missed counts a question that was not answered.
-func (s *Steerer) missed(now time.Time, b *backend) []Ended {
+func (s *Steerer) missed(now time.Time, b *backend, why Evidence) []Ended {
 	b.reach.unsure, b.reach.missAt = 0, now
 	b.reach.misses++
+	s.tell(now, b, why)
 	if b.reach.misses < missesToLose {
 		s.doubt(now, b, Again)
 		return nil
@@ -176,6 +181,25 @@
 	return s.endFlows(b)
 }
 
+// tell has other entries told of a miss, unless they know by another one.
+func (s *Steerer) tell(now time.Time, b *backend, why Evidence) {
+	if s.config.Tell == nil || now.Before(b.reach.tellAt) {
+		return
+	}
+	b.reach.tellAt = now.Add(tellAgainAfter)
+	if why != Told {
+		s.config.Tell(b.ID)
+	}
+}
+
+// Doubted takes that another entry missed an answer of an endpoint: it is asked,
+// nothing more.
+func (s *Steerer) Doubted(now time.Time, id string) {
+	if b := s.byID[id]; b != nil && !b.reach.lost {
+		s.doubt(now, b, Told)
+	}
+}
+
 // endFlows ends the flows that are remembered of an endpoint.
 func (s *Steerer) endFlows(b *backend) []Ended {
 	var all []Ended
--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -14,6 +14,7 @@
 type asked struct {
 	questions []Question
 	full      bool
+	told      []string // of which other entries were told
 }
 
 func (a *asked) ask(q Question) bool {
@@ -24,6 +25,8 @@
 	return true
 }
 
+func (a *asked) tell(id string) { a.told = append(a.told, id) }
+
 // take returns the oldest question.
 func (a *asked) take() Question {
 	Expect(a.questions).NotTo(BeEmpty())
@@ -57,7 +60,7 @@
 
 	BeforeEach(func() {
 		a, now, seq, ack = &asked{}, start, 100, 1
-		s = New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 100, Beat: time.Second, Ask: a.ask})
+		s = New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 100, Beat: time.Second, Ask: a.ask, Tell: a.tell})
 		s.SetDocument(now, testDocument(1, routeTo(bookingAddr, "booking"), routeTo(documentsAddr, "documents")))
 		s.Learn(now, "c1", reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil)))
 		first := s.Decide(now, opening(1000, 7, 0))
@@ -173,6 +176,24 @@
 		Expect(a.questions).To(BeEmpty())
 	})
 
+	It("are told of to other entries, once and only by who found out itself", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		miss()
+		Expect(a.told).To(ConsistOf(s.byTag[dead].ID))
+		miss()
+		Expect(a.told).To(HaveLen(1))
+
+		s.Doubted(now, s.byTag[dead].ID)
+		Expect(a.questions).To(BeEmpty(), "it is known to be out of reach")
+		s.Doubted(now, "nobody")
+		s.Doubted(now, "documents-3")
+		Expect(a.questions[0].Why).To(Equal(Told))
+		miss()
+		Expect(a.told).To(HaveLen(1), "the others know")
+		Expect(s.byID["documents-3"].reach.lost).To(BeFalse(), "what others say ends no flow")
+	})
+
 	It("are found again by a later question, and by a flow that they answer", func() {
 		lose := func() {
 			now = now.Add(lostMost)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -41,6 +41,9 @@
 		// Ask has a question asked, without waiting; its outcome comes to
 		// Answered. It reports false where it is not asked; nil where nobody asks.
 		Ask func(Question) bool
+		// Tell has other entries told that an endpoint left a question without an
+		// answer; it does not wait. Nil where nobody is told.
+		Tell func(id string)
 	}
 
 	// Steerer decides for one entry.
