An endpoint has as long to accept a connection as round trips tell

Hypothesis: the 100 ms were chosen for no network in particular; round trips here are 7 ms with the caller's part.

--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// questionTime is how long an endpoint has to accept a connection: some
-	// hundred round trips within a region, and two between regions.
-	questionTime = 100 * time.Millisecond
 	// questionLate is how much longer a question may take before this process
 	// itself is to blame, and its outcome says nothing.
 	questionLate = 50 * time.Millisecond
@@ -66,10 +63,10 @@
 // settleQuestion asks one question, and resets the flows that end by its outcome.
 func (e *Entry) settleQuestion(ctx context.Context, conn *net.UDPConn, q steer.Question) {
 	began := e.config.Now()
-	reached := e.config.Knock(ctx, q.Addr, questionTime)
+	reached := e.config.Knock(ctx, q.Addr, q.Within)
 	if !reached {
 		// A refusal comes at once; the time shows whether others answer meanwhile.
-		wait := time.NewTimer(questionTime - e.config.Now().Sub(began))
+		wait := time.NewTimer(q.Within - e.config.Now().Sub(began))
 		defer wait.Stop()
 		select {
 		case <-ctx.Done():
@@ -81,7 +78,7 @@
 	outcome := steer.Reached
 	switch took := now.Sub(began); {
 	case reached:
-	case took > questionTime+questionLate:
+	case took > q.Within+questionLate:
 		outcome = steer.Unsure
 	default:
 		outcome = steer.Missed
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -118,6 +118,9 @@
 	s.alive(now, b)
 	f.bind(b)
 	f.open = true
+	if f.opening != nil && !f.moved {
+		s.noteTrip(b, now.Sub(f.opened))
+	}
 	s.stopWaiting(f)
 	if b.answered() {
 		s.suspected(b, false)
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -58,10 +58,12 @@
 	// Question asks whether an endpoint can be reached: whether a connection to
 	// its address is accepted, which takes none of its slots.
 	Question struct {
-		ID    string
-		Addr  netip.AddrPort
-		Why   Evidence
-		began time.Time
+		ID   string
+		Addr netip.AddrPort
+		Why  Evidence
+		// Within is how long the answer may take.
+		Within time.Duration
+		began  time.Time
 	}
 
 	// Ended is a flow that has ended with its endpoint; its caller is to be sent
@@ -96,7 +98,7 @@
 	if s.config.Ask == nil || b.Gone || b.Leaving || b.reach.asking || now.Before(b.reach.askAt) || !b.Addr.IsValid() {
 		return
 	}
-	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, began: now})
+	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, Within: s.trips[b.Domain].within(), began: now})
 }
 
 // alive takes evidence that an endpoint answers callers.
--- /dev/null
+++ b/internal/steer/roundtrip_test.go
@@ -0,0 +1,41 @@
+package steer
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("the time that an endpoint has to answer a question", func() {
+	It("follows the round trips to its failure domain, within bounds", func() {
+		var unseen *roundTrip
+		Expect(unseen.within()).To(Equal(withinUnknown))
+		near, far, farther := &roundTrip{}, &roundTrip{}, &roundTrip{}
+		for range 50 {
+			near.add(2 * time.Millisecond)
+			far.add(30 * time.Millisecond)
+			farther.add(200 * time.Millisecond)
+		}
+		Expect(near.within()).To(Equal(withinLeast))
+		Expect(far.within()).To(BeNumerically("~", withinTrips*30*time.Millisecond, time.Millisecond))
+		Expect(farther.within()).To(Equal(withinMost))
+	})
+
+	It("grows with their spread", func() {
+		steady, spread := &roundTrip{}, &roundTrip{}
+		for i := range 50 {
+			steady.add(20 * time.Millisecond)
+			spread.add(time.Duration(15+10*(i%2)) * time.Millisecond)
+		}
+		Expect(spread.within()).To(BeNumerically(">", steady.within()))
+	})
+
+	It("is learned from flows that open at once, by the failure domain of the endpoint", func() {
+		s := testSteerer()
+		d := s.Decide(start, opening(1000, 7, 0))
+		s.Decide(start.Add(30*time.Millisecond), later(1000, d.Tag, 8, 1, 10))
+		Expect(s.trips).To(HaveKey("plateau"))
+		Expect(s.trips["plateau"].mean).To(Equal(30 * time.Millisecond))
+	})
+})
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -60,12 +60,13 @@
 		digest   registry.Digest            // of byID
 
 		flows    map[flowKey]*flow
-		resting  *list.List        // flows, the longest at rest first
-		opening  *list.List        // flows not answered yet, the oldest first
-		sweepAt  time.Time         // of the next sweep
-		forgetAt time.Time         // of the next forgetGone and forgetDropped
-		lost     map[*backend]bool // those out of reach
-		lifeAt   time.Time         // when any endpoint was last seen to answer
+		resting  *list.List            // flows, the longest at rest first
+		opening  *list.List            // flows not answered yet, the oldest first
+		sweepAt  time.Time             // of the next sweep
+		forgetAt time.Time             // of the next forgetGone and forgetDropped
+		lost     map[*backend]bool     // those out of reach
+		trips    map[string]*roundTrip // by failure domain of endpoints
+		lifeAt   time.Time             // when any endpoint was last seen to answer
 	}
 )
 
@@ -74,7 +75,7 @@
 	return &Steerer{
 		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
 		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
-		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(), lost: map[*backend]bool{},
+		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(), lost: map[*backend]bool{}, trips: map[string]*roundTrip{},
 	}
 }
 
--- a/tools/experiment.go
+++ b/tools/experiment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -14,7 +15,7 @@
 
 // cmdExperiment prints what the committed journal says of experiments.
 func cmdExperiment() *cobra.Command {
-	var folder, why, score string
+	var folder, why, base, score, ablation string
 	c := &cobra.Command{
 		Use: "experiment", Short: "print scores and paired comparisons from the journal", Args: cobra.NoArgs,
 		Long: "With --why, pairs the plays that carry this reason: the sources that were played first against the others.\n" +
@@ -26,6 +27,10 @@
 			}
 			out := c.OutOrStdout()
 			switch {
+			case ablation != "":
+				err = printAblation(out, entries, ablation)
+			case base != "":
+				err = printComparison(out, journal.CompareReasons(entries, base, why))
 			case why != "":
 				err = printComparison(out, journal.Compare(entries, why))
 			case score != "":
@@ -38,6 +43,8 @@
 	}
 	c.Flags().StringVar(&folder, "journal", "journal", "folder of the journal")
 	c.Flags().StringVar(&why, "why", "", "reason of the plays to compare")
+	c.Flags().StringVar(&base, "base", "", "reason of the plays to compare them with; else the sources that were played first")
+	c.Flags().StringVar(&ablation, "ablation", "", "prefix of the reasons of an ablation; the one that ends in 'nothing' is the base")
 	c.Flags().StringVar(&score, "scores", "", "reason of the scores to print")
 	return c
 }
@@ -73,6 +80,45 @@
 	return nil
 }
 
+// printAblation prints what each thing that was switched off is worth at each
+// site, as Markdown: the difference that its absence makes.
+func printAblation(out io.Writer, entries []journal.Entry, prefix string) error {
+	base := prefix + "nothing"
+	var sites, reasons []string
+	cells := map[[2]string]string{}
+	for _, e := range entries {
+		if !strings.HasPrefix(e.Why, prefix) || e.Why == base || slices.Contains(reasons, e.Why) {
+			continue
+		}
+		reasons = append(reasons, e.Why)
+		for _, d := range journal.CompareReasons(entries, base, e.Why) {
+			if d.Day != journal.AllDays {
+				continue
+			}
+			cell := fmt.Sprintf("%+.4f ± %.4f (%d)", d.Mean, d.Error, d.Pairs)
+			if d.Broken > 0 {
+				cell += fmt.Sprintf(", %d broken", d.Broken)
+			}
+			cells[[2]string{e.Why, d.Site}] = cell
+			if !slices.Contains(sites, d.Site) {
+				sites = append(sites, d.Site)
+			}
+		}
+	}
+	if len(cells) == 0 {
+		return fault.New(fault.NotFound, "no pairs of plays carry that prefix")
+	}
+	fmt.Fprintf(out, "| switched off | %s |\n|---|%s\n", strings.Join(sites, " | "), strings.Repeat("---|", len(sites)))
+	for _, why := range reasons {
+		fmt.Fprintf(out, "| %s |", strings.TrimPrefix(why, prefix))
+		for _, site := range sites {
+			fmt.Fprintf(out, " %s |", cells[[2]string{why, site}])
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
+
 // printReasons lists the reasons with how many plays carry each.
 func printReasons(out io.Writer, entries []journal.Entry) {
 	count := map[string]int{}
