An endpoint has ended once another one at its address answers an opening packet

Cause: endpoints that crash and are reborn at their addresses accept connections there, so that questions find nothing, and heartbeats end the first one after 2.6 periods.

--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -32,6 +32,7 @@
 	part      uint64    // bit of its part of the digest
 	startedAt time.Time // about when it started, by how often it was heard since
 	warmUntil time.Time
+	knownAt   time.Time // when this entry learned of it
 	goneAt    time.Time
 	leavingAt time.Time // when this entry learned that it leaves
 	silent    bool      // by every control instance that knows it
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -29,13 +29,14 @@
 	askedAt time.Time     // when its last packet came first
 	acked   uint32        // ack of the last packet
 	resting *list.Element // of Steerer.resting
+	copied  bool          // this entry saw no copy before a later one
 	opening *list.Element // of Steerer.opening, nil once the flow is answered or counted
 }
 
 // remember begins the record of a flow that was placed.
 func (s *Steerer) remember(now time.Time, p Packet, b *backend) {
 	f := s.record(now, p, b)
-	f.asked = p.Seq + 1
+	f.asked, f.copied = p.Seq+1, p.Copy > 0
 	f.opening = s.opening.PushBack(f)
 }
 
@@ -121,6 +122,9 @@
 	if f.opening != nil && !f.moved {
 		s.noteTrip(b, now.Sub(f.opened))
 	}
+	if !f.copied && !f.moved {
+		s.pass(b, f.opened)
+	}
 	s.stopWaiting(f)
 	if b.answered() {
 		s.suspected(b, false)
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -122,7 +122,7 @@
 // add begins what is known of an incarnation.
 func (s *Steerer) add(now time.Time, e registry.Endpoint) *backend {
 	b := &backend{
-		Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID),
+		Endpoint: e, tag: Tag(e.ID), part: registry.PartBit(e.ID), knownAt: now,
 		startedAt: now.Add(-time.Duration(e.Sequence) * s.config.Beat),
 	}
 	s.byID[e.ID] = b
@@ -130,6 +130,7 @@
 		return b // only known to have ended: remembered so that nobody revives it
 	}
 	s.pools[e.Service] = append(s.pools[e.Service], b)
+	s.byAddr[e.Addr] = append(s.byAddr[e.Addr], b)
 	s.settleTag(b)
 	return b
 }
@@ -161,6 +162,10 @@
 		for _, heard := range s.silentBy {
 			delete(heard, id)
 		}
-		s.pools[b.Service] = slices.DeleteFunc(s.pools[b.Service], func(other *backend) bool { return other == b })
+		itself := func(other *backend) bool { return other == b }
+		s.pools[b.Service] = slices.DeleteFunc(s.pools[b.Service], itself)
+		if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
+			delete(s.byAddr, b.Addr)
+		}
 	}
 }
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -83,6 +84,7 @@
 		askAt  time.Time // no question before
 		lifeAt time.Time // when it was last seen to answer
 		tellAt time.Time // other entries are not told before
+		passed bool      // another incarnation lives at its address: it has ended
 	}
 )
 
@@ -95,7 +97,7 @@
 // doubt takes evidence that an endpoint may be out of reach, and asks it. One
 // that leaves is not asked: it may accept no connection and serve its flows.
 func (s *Steerer) doubt(now time.Time, b *backend, why Evidence) {
-	if s.config.Ask == nil || b.Gone || b.Leaving || b.reach.asking || now.Before(b.reach.askAt) || !b.Addr.IsValid() {
+	if s.config.Ask == nil || b.Gone || b.Leaving || b.reach.passed || b.reach.asking || now.Before(b.reach.askAt) || !b.Addr.IsValid() {
 		return
 	}
 	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, Within: s.trips[b.Domain].within(), began: now})
@@ -110,13 +112,35 @@
 // found notes that an endpoint can be reached.
 func (s *Steerer) found(b *backend) {
 	b.reach.misses = 0
-	if b.reach.lost {
+	if b.reach.lost && !b.reach.passed {
 		b.reach.lost = false
 		delete(s.lost, b)
 		s.suspected(b, false)
 	}
 }
 
+// pass takes that an endpoint answered an opening packet that was sent once the
+// others at its address were known: these have ended, since an address is given
+// away only then. Control instances must wait for their heartbeats to stay away.
+func (s *Steerer) pass(b *backend, sent time.Time) {
+	for _, other := range s.byAddr[b.Addr] {
+		if other == b || other.Gone || other.reach.passed || !sent.After(other.knownAt) {
+			continue
+		}
+		other.reach.passed, other.reach.lost = true, true
+		delete(s.lost, other)
+		s.suspected(other, true)
+	}
+}
+
+// contested reports whether another endpoint may live at the address, and be the
+// one that accepts connections.
+func (s *Steerer) contested(b *backend) bool {
+	return slices.ContainsFunc(s.byAddr[b.Addr], func(other *backend) bool {
+		return other != b && !other.Gone && !other.reach.passed
+	})
+}
+
 // askLost asks endpoints that were out of reach whether they are back, so that
 // new flows may go to them again.
 func (s *Steerer) askLost(now time.Time) {
@@ -128,7 +152,7 @@
 // steerLost decides about a packet of a flow whose endpoint is out of reach. What
 // was found too long ago is found out again first.
 func (s *Steerer) steerLost(now time.Time, b *backend, p Packet) Decision {
-	if now.Sub(b.reach.missAt) > missHolds || p.Flags.Has(Rst) {
+	if !b.reach.passed && now.Sub(b.reach.missAt) > missHolds || p.Flags.Has(Rst) {
 		b.reach.askAt = time.Time{}
 		s.doubt(now, b, Lost)
 		return b.forward(Steered)
@@ -148,7 +172,9 @@
 	b.reach.asking = false
 	if outcome == Reached {
 		b.reach.askAt, b.reach.unsure = now.Add(askAgainAfter), 0
-		s.found(b)
+		if !s.contested(b) {
+			s.found(b)
+		}
 		return nil
 	}
 	if b.reach.lifeAt.After(q.began) || b.Leaving {
--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -176,6 +176,35 @@
 		Expect(a.questions).To(BeEmpty())
 	})
 
+	It("have ended once another one at their address answers an opening packet that was sent to it", func() {
+		b := s.byTag[dead]
+		s.Learn(now, "c1", reports(report("booking", 9, func(m *wire.EndpointReport) { m.Address = b.Addr.String() })))
+		next := s.byID["booking-9"]
+		q := Question{ID: b.ID, began: now}
+		b.reach.misses = 1
+		s.Answered(now, q, Reached)
+		Expect(b.reach.misses).To(Equal(1), "it may be the other one that accepts connections")
+
+		answered := func(first Packet, copies int) {
+			first.Copy = copies
+			s.remember(now, first, next)
+			now = now.Add(time.Millisecond)
+			s.Decide(now, later(first.Src.Port(), next.tag, first.Seq+1, 1, 0))
+		}
+		b.knownAt = now
+		answered(opening(7000, 7, 0), 0) // sent at the moment that it became known
+		Expect(b.reach.passed).To(BeFalse())
+		answered(opening(7001, 7, 0), 1) // an earlier copy may have been answered
+		Expect(b.reach.passed).To(BeFalse())
+		answered(opening(7002, 7, 0), 0)
+		Expect(b.reach.passed).To(BeTrue())
+		now = now.Add(time.Minute)
+		Expect(s.Decide(now, later(1000, dead, 8, 1, 10)).Reason).To(Equal(EndpointLost))
+		s.found(b)
+		Expect(b.reach.lost).To(BeTrue(), "for good")
+		Expect(next.reach.lost).To(BeFalse())
+	})
+
 	It("are told of to other entries, once and only by who found out itself", func() {
 		now = now.Add(200 * time.Millisecond)
 		request(1000, dead, 8)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -54,6 +54,7 @@
 		dropped  map[netip.AddrPort]time.Time // when a route that was in force went
 		byID     map[string]*backend
 		byTag    map[uint32]*backend
+		byAddr   map[netip.AddrPort][]*backend
 		pools    map[string][]*backend      // by service
 		silentBy map[string]map[string]bool // by control instance, then endpoint
 		whole    bool                       // a control instance has reported every endpoint
@@ -73,7 +74,7 @@
 // New returns a Steerer that knows nothing yet.
 func New(c Config) *Steerer {
 	return &Steerer{
-		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{},
+		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{}, byAddr: map[netip.AddrPort][]*backend{},
 		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
 		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(), lost: map[*backend]bool{}, trips: map[string]*roundTrip{},
 	}
