A question to an endpoint says nothing where the entry itself stood still; questions are counted

Cause, found by reading: with a limit of 50 ms a connection that was accepted in time may be found too late by an entry without processor, and flows of a living endpoint would be reset. Metrics: questions by outcome, endpoints out of reach.

--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -14,6 +14,11 @@
 		byReason [steer.ReasonCount]atomic.Uint64
 	}
 
+	// questionCounts counts questions to endpoints by what came of them.
+	questionCounts struct {
+		byOutcome [steer.OutcomeCount]atomic.Uint64
+	}
+
 	// figure is a counter or gauge with its name, labels included.
 	figure struct {
 		name  string
@@ -43,6 +48,9 @@
 	for _, reason := range steer.Reasons() {
 		all = append(all, figure{fmt.Sprintf("oxbowsaddle_packets_total{reason=%q}", reason), e.counts.byReason[reason].Load()})
 	}
+	for outcome := range steer.OutcomeCount {
+		all = append(all, figure{fmt.Sprintf("oxbowsaddle_questions_total{outcome=%q}", outcome), e.asked.byOutcome[outcome].Load()})
+	}
 	now := e.config.Now()
 	e.mu.Lock()
 	c := e.steerer.Counts(now)
@@ -52,6 +60,7 @@
 		figure{"oxbowsaddle_endpoints", uint64(c.Endpoints)},
 		figure{"oxbowsaddle_endpoints_silent", uint64(c.Silent)},
 		figure{"oxbowsaddle_endpoints_suspect", uint64(c.Suspect)},
+		figure{"oxbowsaddle_endpoints_lost", uint64(c.Lost)},
 		figure{"oxbowsaddle_document_version", c.Version},
 	)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -55,6 +55,7 @@
 		learned   atomic.Bool // endpoints have been reported
 		stopping  atomic.Bool
 		counts    packetCounts
+		asked     questionCounts
 		kept      *keptRing
 		timings   entryTimings
 		questions chan steer.Question
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// questionLate is how much longer a question may take before this process
-	// itself is to blame, and its outcome says nothing.
-	questionLate = 50 * time.Millisecond
+	// questionTick is how often this process looks whether it runs while a
+	// question is under way, and pausePart which part of the question's time it
+	// may stand still: a connection that was accepted meanwhile is found too late.
+	questionTick = 5 * time.Millisecond
+	pausePart    = 3
 	// questionsAtOnce bounds the questions that are under way.
 	questionsAtOnce = 32
 )
@@ -60,29 +62,42 @@
 	}
 }
 
-// settleQuestion asks one question, and resets the flows that end by its outcome.
-func (e *Entry) settleQuestion(ctx context.Context, conn *net.UDPConn, q steer.Question) {
+// put asks one question and returns what came of it. A refusal comes at once;
+// the time shows whether other endpoints answer meanwhile.
+func (e *Entry) put(ctx context.Context, q steer.Question) steer.Outcome {
+	accepted := make(chan bool, 1)
+	go func() { accepted <- e.config.Knock(ctx, q.Addr, q.Within) }()
+	ticker := time.NewTicker(questionTick)
+	defer ticker.Stop()
 	began := e.config.Now()
-	reached := e.config.Knock(ctx, q.Addr, q.Within)
-	if !reached {
-		// A refusal comes at once; the time shows whether others answer meanwhile.
-		wait := time.NewTimer(q.Within - e.config.Now().Sub(began))
-		defer wait.Stop()
+	last, pause, refused := began, time.Duration(0), false
+	for ctx.Err() == nil {
 		select {
-		case <-ctx.Done():
-			return
-		case <-wait.C:
+		case reached := <-accepted:
+			if reached {
+				return steer.Reached
+			}
+			refused = true
+		case <-ticker.C:
+		}
+		now := e.config.Now()
+		pause, last = max(pause, now.Sub(last)), now
+		if pause > q.Within/pausePart {
+			return steer.Unsure
+		}
+		if refused && now.Sub(began) >= q.Within {
+			return steer.Missed
 		}
 	}
+	return steer.Unsure
+}
+
+// settleQuestion asks one question, and resets the flows that end by its outcome.
+func (e *Entry) settleQuestion(ctx context.Context, conn *net.UDPConn, q steer.Question) {
+	began := e.config.Now()
+	outcome := e.put(ctx, q)
 	now := e.config.Now()
-	outcome := steer.Reached
-	switch took := now.Sub(began); {
-	case reached:
-	case took > q.Within+questionLate:
-		outcome = steer.Unsure
-	default:
-		outcome = steer.Missed
-	}
+	e.asked.byOutcome[outcome].Add(1)
 	e.mu.Lock()
 	ended := e.steerer.Answered(now, q, outcome)
 	e.mu.Unlock()
--- a/internal/node/questions_test.go
+++ b/internal/node/questions_test.go
@@ -38,11 +38,26 @@
 		Eventually(func() int { return len(e.questions) }, patience).Should(BeZero())
 	})
 
+	// clock returns a clock that moves on by a step at each look.
+	clock := func(step time.Duration, looks *int) func() time.Time {
+		return func() time.Time {
+			*looks++
+			return time.Unix(5000, 0).Add(time.Duration(*looks) * step)
+		}
+	}
+
 	ginkgo.It("take their time where a connection is refused at once, so that others can answer meanwhile", func() {
-		began := time.Now()
-		const within = 30 * time.Millisecond
-		e.settleQuestion(context.Background(), nil, steer.Question{ID: "a", Addr: at, Within: within})
-		Expect(time.Since(began)).To(BeNumerically(">=", within))
+		looks := 0
+		e.config.Now = clock(5*time.Millisecond, &looks)
+		e.settleQuestion(context.Background(), nil, steer.Question{ID: "a", Addr: at, Within: 50 * time.Millisecond})
+		Expect(looks).To(BeNumerically(">=", 10))
+		Expect(e.asked.byOutcome[steer.Missed].Load()).To(Equal(uint64(1)))
+	})
+
+	ginkgo.It("say nothing where this process stood still meanwhile", func() {
+		looks := 0
+		e.config.Now = clock(20*time.Millisecond, &looks)
+		Expect(e.put(context.Background(), steer.Question{ID: "a", Addr: at, Within: 50 * time.Millisecond})).To(Equal(steer.Unsure))
 	})
 
 	ginkgo.It("are answered by whoever accepts connections, without a byte", func() {
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -42,11 +42,14 @@
 	Reached Outcome = iota // a connection was accepted
 	Missed                 // none was, in time
 	Unsure                 // this entry was too slow to tell
+
+	// OutcomeCount is how many there are.
+	OutcomeCount
 )
 
 var (
 	evidenceNames = [...]string{"unopened", "unacked", "unheard", "again", "lost", "told"}
-	outcomeNames  = [...]string{"reached", "missed", "unsure"}
+	outcomeNames  = [OutcomeCount]string{"reached", "missed", "unsure"}
 )
 
 type (
@@ -193,6 +196,9 @@
 
 // missed counts a question that was not answered.
 func (s *Steerer) missed(now time.Time, b *backend, why Evidence) []Ended {
+	if !b.reach.lost && now.Sub(b.reach.missAt) > missHolds {
+		b.reach.misses = 0 // the one before was long ago
+	}
 	b.reach.unsure, b.reach.missAt = 0, now
 	b.reach.misses++
 	s.tell(now, b, why)
@@ -230,6 +236,9 @@
 
 // endFlows ends the flows that are remembered of an endpoint.
 func (s *Steerer) endFlows(b *backend) []Ended {
+	if b.flows == 0 {
+		return nil
+	}
 	var all []Ended
 	for key, f := range s.flows {
 		if f.backend != b || !f.open {
--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -161,6 +161,20 @@
 		Expect(miss()).To(BeEmpty(), "misses are counted in a row")
 	})
 
+	It("count misses in a row, not those of long ago", func() {
+		now = now.Add(200 * time.Millisecond)
+		request(1000, dead, 8)
+		Expect(miss()).To(BeEmpty())
+		for range unsureMost { // nothing comes of the next ones
+			q := a.take()
+			now = now.Add(missHolds)
+			s.Answered(now, q, Unsure)
+		}
+		request(1000, dead, 8)
+		Expect(miss()).To(BeEmpty())
+		Expect(s.byTag[dead].reach.lost).To(BeFalse())
+	})
+
 	It("are not asked while they leave: they may accept no connection and serve their flows", func() {
 		leaving := func(n int) *wire.EndpointReport {
 			return report("booking", n, func(m *wire.EndpointReport) { m.Sequence, m.Leaving = 2, true })
