The digest keeps sums, not copies of endpoints

Left from before: a registry kept a copy of each endpoint for its digest and hashed it twice a change, the entry's digest too.

--- a/internal/node/feed_test.go
+++ b/internal/node/feed_test.go
@@ -31,7 +31,7 @@
 
 	ginkgo.It("leaves out what another control instance told it already", func() {
 		feed := &entryFeed{control: control}
-		feed.known.Add(endpoint)
+		feed.known.Toggle(endpoint.ID, registry.Sum(endpoint))
 		Expect(feed.reports().Endpoints).To(BeEmpty())
 		control.endpoints.leave("i-1")
 		Expect(feed.reports().Endpoints).To(HaveLen(1))
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -16,12 +16,12 @@
 )
 
 // Digest sums up what is known of endpoints, without what each heartbeat
-// changes: a sum for each part of them. The order of additions does not matter,
-// and adding an endpoint twice takes it out again.
+// changes: a sum for each part of them. The order does not matter, and toggling a
+// sum twice takes it out again.
 type Digest [digestParts]uint64
 
-// Add adds an endpoint, or takes it out.
-func (d *Digest) Add(e Endpoint) { d[part(e.ID)] ^= Sum(e) }
+// Toggle adds the sum of an endpoint, or takes it out.
+func (d *Digest) Toggle(id string, sum uint64) { d[part(id)] ^= sum }
 
 // same returns a bit for each part in which two digests agree.
 func (d *Digest) same(other *Digest) uint64 {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,7 +65,7 @@
 		rivalSince     time.Time     // when another incarnation at the address was first known, zero for none
 		incumbent      bool          // known before the other one
 		heardAgain     bool          // heard with a higher sequence since then
-		summed         Endpoint      // as the registry's digest has it
+		sum            uint64        // as the registry's digest has it, 0 before that
 		changed        uint64        // number of the last change that entries must know
 		silenceChanged uint64        // number of the last change that was about silence
 		peersChanged   uint64        // number of the last heartbeat or change that peers must know
@@ -163,9 +163,9 @@
 func (r *Registry) noteForEntries(now time.Time, held *record) {
 	held.changed = r.number
 	held.inChanges = toBack(r.changes, held.inChanges, held)
-	r.digest.Add(held.summed)
-	held.summed = held.endpoint
-	r.digest.Add(held.summed)
+	r.digest.Toggle(held.endpoint.ID, held.sum)
+	held.sum = Sum(held.endpoint)
+	r.digest.Toggle(held.endpoint.ID, held.sum)
 	if r.config.Changed != nil {
 		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
 	}
@@ -228,7 +228,7 @@
 func (r *Registry) forget(id string, held *record) {
 	delete(r.records, id)
 	r.vacate(held)
-	r.digest.Add(held.summed)
+	r.digest.Toggle(id, held.sum)
 	r.changes.Remove(held.inChanges)
 	r.beats.Remove(held.inBeats)
 }
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -30,7 +30,7 @@
 			out.Endpoints = append(out.Endpoints, message(now, held))
 			continue
 		}
-		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: Sum(held.endpoint)})
+		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: held.sum})
 	}
 	return out
 }
--- a/internal/registry/reports_test.go
+++ b/internal/registry/reports_test.go
@@ -72,7 +72,7 @@
 					e.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
 				})
 				r.Hear(start, e)
-				known.Add(e)
+				known.Toggle(e.ID, Sum(e))
 			}
 		})
 
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -30,6 +30,7 @@
 	registry.Endpoint
 	tag       uint32
 	part      uint64    // bit of its part of the digest
+	sum       uint64    // as the digest has it, 0 before that
 	startedAt time.Time // about when it started, by how often it was heard since
 	warmUntil time.Time
 	knownAt   time.Time // when this entry learned of it
--- a/internal/steer/convergence_test.go
+++ b/internal/steer/convergence_test.go
@@ -132,7 +132,7 @@
 		}
 		var digest registry.Digest
 		for _, b := range w.entry.byID {
-			digest.Add(b.Endpoint)
+			digest.Toggle(b.ID, registry.Sum(b.Endpoint))
 		}
 		g.Expect(w.entry.Digest()).To(gomega.Equal(digest), "the digest is kept as records change")
 	})
--- a/internal/steer/fuzz_test.go
+++ b/internal/steer/fuzz_test.go
@@ -43,7 +43,7 @@
 		}
 		var digest registry.Digest
 		for _, b := range s.byID {
-			digest.Add(b.Endpoint)
+			digest.Toggle(b.ID, registry.Sum(b.Endpoint))
 		}
 		if digest != s.Digest() {
 			t.Error("the digest is not that of what is known")
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -45,7 +45,7 @@
 		return false
 	case b.Gone:
 		return true // for good, whatever others know
-	case registry.Sum(b.Endpoint) != m.Sum:
+	case b.sum != m.Sum:
 		return false
 	}
 	if _, said := heard[m.Id]; !said {
@@ -83,13 +83,11 @@
 
 // learn takes what is reported of one endpoint, and keeps the digest.
 func (s *Steerer) learn(now time.Time, e registry.Endpoint) {
-	if b := s.byID[e.ID]; b != nil {
-		s.digest.Add(b.Endpoint)
-	}
 	s.take(now, e)
-	if b := s.byID[e.ID]; b != nil {
-		s.digest.Add(b.Endpoint)
-	}
+	b := s.byID[e.ID]
+	s.digest.Toggle(b.ID, b.sum)
+	b.sum = registry.Sum(b.Endpoint)
+	s.digest.Toggle(b.ID, b.sum)
 }
 
 // take takes what is reported of one endpoint. A report that it has ended
@@ -157,7 +155,7 @@
 			continue
 		}
 		delete(s.byID, id)
-		s.digest.Add(b.Endpoint)
+		s.digest.Toggle(id, b.sum)
 		s.freeTag(b)
 		for _, heard := range s.silentBy {
 			delete(heard, id)
