--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -1,20 +1,11 @@
 package node
 
 import (
-	"time"
-
 	"oxbowsaddle/internal/document"
 	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
 
-// unconfirmedAfter is how long an entry that knows nothing waits for a
-// document that is confirmed before it takes one that is not: a control
-// instance that was away for long may be reached first, and another one
-// moments later. After a loss of power everywhere none is confirmed until
-// a leader is elected, and callers are served meanwhile.
-const unconfirmedAfter = 25 * time.Millisecond
-
 // takeOffer notes which version a control instance has in force, and asks for
 // it where it is newer than the one held.
 func (e *Entry) takeOffer(source string, offer *wire.DocumentOffer) {
@@ -57,15 +48,15 @@
 		e.held = doc
 	}
 	e.mu.Unlock()
-	switch {
-	case err != nil:
+	if err != nil {
 		e.config.Log.Error("document refused", "control", source, "error", err)
-	case !frame.Confirmed && !e.confirmed.Load():
-		time.AfterFunc(unconfirmedAfter, func() { e.putInForce(doc, false) })
-	default:
-		e.putInForce(doc, frame.Confirmed)
+		e.askDocument()
+		return
 	}
-	if err == nil && frame.Confirmed {
+	// After a loss of power everywhere none is confirmed until a leader is elected;
+	// callers are served meanwhile, though routers are told that this entry is not ready.
+	e.putInForce(doc, frame.Confirmed)
+	if frame.Confirmed {
 		e.confirm(doc.Version())
 	}
 	e.askDocument()
