--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -82,7 +82,8 @@
 	e := &Entry{
 		config: c, kept: newKeptRing(), timings: newEntryTimings(), fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{},
 		flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce),
-		questions: make(chan steer.Question, questionsAtOnce), doubts: make(chan string, questionsAtOnce),
+		questions: make(chan steer.Question, questionsAtOnce),
+		doubts:    make(chan string, questionsAtOnce),
 	}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -70,8 +70,8 @@
 		began  time.Time
 	}
 
-	// Ended is a flow that has ended with its endpoint; its caller is to be sent
-	// a reset.
+	// Ended is a flow whose endpoint is out of reach; its caller is to be sent a
+	// reset.
 	Ended struct {
 		Src, Dst netip.AddrPort
 		Seq      uint32 // what the caller expects next
@@ -100,7 +100,8 @@
 // doubt takes evidence that an endpoint may be out of reach, and asks it. One
 // that leaves is not asked: it may accept no connection and serve its flows.
 func (s *Steerer) doubt(now time.Time, b *backend, why Evidence) {
-	if s.config.Ask == nil || b.Gone || b.Leaving || b.reach.passed || b.reach.asking || now.Before(b.reach.askAt) || !b.Addr.IsValid() {
+	known := b.Gone || b.Leaving || b.reach.passed || !b.Addr.IsValid()
+	if s.config.Ask == nil || known || b.reach.asking || now.Before(b.reach.askAt) {
 		return
 	}
 	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, Within: s.trips[b.Domain].within(), began: now})
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -54,11 +54,11 @@
 		dropped  map[netip.AddrPort]time.Time // when a route that was in force went
 		byID     map[string]*backend
 		byTag    map[uint32]*backend
-		byAddr   map[netip.AddrPort][]*backend
-		pools    map[string][]*backend      // by service
-		silentBy map[string]map[string]bool // by control instance, then endpoint
-		whole    bool                       // a control instance has reported every endpoint
-		digest   registry.Digest            // of byID
+		byAddr   map[netip.AddrPort][]*backend // the incarnations that claim each address
+		pools    map[string][]*backend         // by service
+		silentBy map[string]map[string]bool    // by control instance, then endpoint
+		whole    bool                          // a control instance has reported every endpoint
+		digest   registry.Digest               // of byID
 
 		flows    map[flowKey]*flow
 		resting  *list.List            // flows, the longest at rest first
@@ -74,9 +74,18 @@
 // New returns a Steerer that knows nothing yet.
 func New(c Config) *Steerer {
 	return &Steerer{
-		config: c, dropped: map[netip.AddrPort]time.Time{}, byID: map[string]*backend{}, byTag: map[uint32]*backend{}, byAddr: map[netip.AddrPort][]*backend{},
-		pools: map[string][]*backend{}, silentBy: map[string]map[string]bool{},
-		flows: map[flowKey]*flow{}, resting: list.New(), opening: list.New(), lost: map[*backend]bool{}, trips: map[string]*roundTrip{},
+		config:   c,
+		dropped:  map[netip.AddrPort]time.Time{},
+		byID:     map[string]*backend{},
+		byTag:    map[uint32]*backend{},
+		byAddr:   map[netip.AddrPort][]*backend{},
+		pools:    map[string][]*backend{},
+		silentBy: map[string]map[string]bool{},
+		flows:    map[flowKey]*flow{},
+		resting:  list.New(),
+		opening:  list.New(),
+		lost:     map[*backend]bool{},
+		trips:    map[string]*roundTrip{},
 	}
 }
 
