--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -21,9 +21,10 @@
 		s.learn(now, registry.FromMessage(m))
 		if b := s.byID[m.Id]; b != nil {
 			heard[m.Id] = m.Silent
+			was := b.silent
 			s.settleSilence(b)
-			if b.silent {
-				s.doubt(now, b, Unheard)
+			if was && !b.silent {
+				s.heardAgain(now, b)
 			}
 		}
 	}
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -17,9 +17,10 @@
 	// one before new evidence must come.
 	unsureMost = 5
 	// lostFirst and lostMost bound how long after it was lost an endpoint is
-	// asked whether it is back; the span doubles with each miss.
+	// asked whether it is back; the span doubles with each miss, since every entry
+	// asks. One whose heartbeats are heard again is asked at once.
 	lostFirst = time.Second
-	lostMost  = 4 * time.Second
+	lostMost  = 16 * time.Second
 	// tellAgainAfter bounds what other entries are told of an endpoint.
 	tellAgainAfter = 2 * time.Second
 	// missHolds is how long a miss is proof enough to reset a flow: within it an
@@ -31,7 +32,6 @@
 const (
 	Unopened Evidence = iota // an opening packet was not answered
 	Unacked                  // a caller repeats data on an open flow
-	Unheard                  // no control instance hears its heartbeats
 	Again                    // the last question was not answered
 	Lost                     // it was out of reach, and may be back
 	Told                     // another entry missed an answer
@@ -48,7 +48,7 @@
 )
 
 var (
-	evidenceNames = [...]string{"unopened", "unacked", "unheard", "again", "lost", "told"}
+	evidenceNames = [...]string{"unopened", "unacked", "again", "lost", "told"}
 	outcomeNames  = [OutcomeCount]string{"reached", "missed", "unsure"}
 )
 
@@ -227,11 +227,25 @@
 	}
 }
 
-// Doubted takes that another entry missed an answer of an endpoint: it is asked,
-// nothing more.
+// Doubted takes that another entry missed an answer of an endpoint. It is asked
+// where flows on it are known here; else new flows avoid it for a moment, so that
+// a large fleet does not ask as one.
 func (s *Steerer) Doubted(now time.Time, id string) {
-	if b := s.byID[id]; b != nil && !b.reach.lost {
+	b := s.byID[id]
+	switch {
+	case b == nil || b.reach.lost:
+	case b.flows > 0:
 		s.doubt(now, b, Told)
+	case now.After(b.suspectUntil):
+		b.suspectUntil = now.Add(suspectFirst)
+	}
+}
+
+// heardAgain has an endpoint out of reach asked whose heartbeats are heard again.
+func (s *Steerer) heardAgain(now time.Time, b *backend) {
+	if b.reach.lost {
+		b.reach.askAt = now
+		s.doubt(now, b, Lost)
 	}
 }
 
