One place resets a flow at its caller

The packet path and the questions to endpoints built the same reset twice; both call sendReset now. The condition on endpoints that are not asked has a name that says why.

--- a/internal/node/packets.go
+++ b/internal/node/packets.go
@@ -61,12 +61,18 @@
 		// A datagram that cannot be sent is lost, as on any link; its sender repeats it.
 		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Forward(out, raw, d.Number, d.Tag), d.To)
 	case steer.Reset:
-		caller := netip.AddrPortFrom(p.Src.Addr(), e.config.Packets.Port())
-		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(out, p, d.Seq), caller)
+		e.sendReset(conn, out, p, d.Seq)
 	}
 	e.logDecision(now, p, d)
 }
 
+// sendReset resets the flow of a packet at its caller. A reset that cannot be sent
+// is lost, as on any link; the flow's next packet is reset again.
+func (e *Entry) sendReset(conn *net.UDPConn, buf []byte, p steer.Packet, seq uint32) {
+	caller := netip.AddrPortFrom(p.Src.Addr(), e.config.Packets.Port())
+	_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(buf, p, seq), caller)
+}
+
 // timeDecision takes the time of one decision in timeOneIn.
 func (e *Entry) timeDecision(began time.Time) {
 	if e.untimed++; e.untimed >= timeOneIn {
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -102,10 +102,8 @@
 	ended := e.steerer.Answered(now, q, outcome)
 	e.mu.Unlock()
 	e.config.Log.Info("endpoint asked", "endpoint", q.ID, "address", q.Addr, "why", q.Why, "outcome", outcome, "took", now.Sub(began), "flows_reset", len(ended))
-	var buf []byte
+	buf := make([]byte, 0, packetMost)
 	for _, f := range ended {
-		caller := netip.AddrPortFrom(f.Src.Addr(), e.config.Packets.Port())
-		// What cannot be sent is lost, as on any link; the caller's next packet is reset.
-		_, _ = conn.WriteToUDPAddrPort(e.config.Codec.Reset(buf[:0], steer.Packet{Src: f.Src, Dst: f.Dst}, f.Seq), caller)
+		e.sendReset(conn, buf, steer.Packet{Src: f.Src, Dst: f.Dst}, f.Seq)
 	}
 }
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -100,8 +100,8 @@
 // doubt takes evidence that an endpoint may be out of reach, and asks it. One
 // that leaves is not asked: it may accept no connection and serve its flows.
 func (s *Steerer) doubt(now time.Time, b *backend, why Evidence) {
-	known := b.Gone || b.Leaving || b.reach.passed || !b.Addr.IsValid()
-	if s.config.Ask == nil || known || b.reach.asking || now.Before(b.reach.askAt) {
+	ending := b.Gone || b.Leaving || b.reach.passed || !b.Addr.IsValid()
+	if s.config.Ask == nil || ending || b.reach.asking || now.Before(b.reach.askAt) {
 		return
 	}
 	b.reach.asking = s.config.Ask(Question{ID: b.ID, Addr: b.Addr, Why: why, Within: s.trips[b.Domain].within(), began: now})
