New flows are placed evenly over equal endpoints, at a cost that does not grow with the service

A pool holds only what new flows may go to now, by failure domain; of equals each has the same chance; of more than 32 endpoints 16 are drawn, the same for all copies of an opening packet.

Weighed: a whole scan with an even draw (8.7 us at 480 endpoints, 1,483 us at 55,000, on a busy machine; draws take 0.6 and 1.5 us); rendezvous order by entry (no state either, but ties stay where they are for good).

--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -47,7 +47,8 @@
 	suspectFor   time.Duration
 	suspectUntil time.Time
 
-	reach reach
+	reach   reach
+	listing *listing // nil while new flows may not go to it
 }
 
 // answered takes the evidence that the endpoint answers; it reports whether
@@ -86,14 +87,20 @@
 		load += coldLoad
 	}
 	if b.Domain != domain {
-		if bulk {
-			return load + foreignBulkLoad
-		}
-		return load + foreignLoad
+		load += foreignLoadOf(bulk)
 	}
 	return load
 }
 
+// foreignLoadOf returns what an endpoint of another failure domain counts in
+// addition.
+func foreignLoadOf(bulk bool) float64 {
+	if bulk {
+		return foreignBulkLoad
+	}
+	return foreignLoad
+}
+
 // forward returns the decision that sends a packet to the endpoint.
 func (b *backend) forward(reason Reason) Decision {
 	return Decision{Action: Forward, Reason: reason, To: b.Addr, Number: b.Number, Tag: b.tag, ID: b.ID}
--- a/internal/steer/bench_test.go
+++ b/internal/steer/bench_test.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,3 +41,22 @@
 	s.Learn(start, "c1", reports(all...))
 	return s
 }
+
+// BenchmarkChoose is what placing costs by the size of the service, over five
+// failure domains. On one busy machine a scan of the whole service took 2.1, 8.7,
+// 102 and 1,483 µs at the four sizes; draws take 0.6, 0.6, 0.6 and 1.5 µs.
+func BenchmarkChoose(b *testing.B) {
+	for _, count := range []int{120, 480, 4_000, 55_000} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			s := fleetSteerer(irregularFleet(count))
+			r := s.routes[bookingAddr]
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				s.choose(start, r, fleetOpening(n), nil, nil)
+			}
+		})
+	}
+}
+
+// testingAllocs returns how often f allocates.
+func testingAllocs(f func()) float64 { return testing.AllocsPerRun(100, f) }
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -37,16 +37,18 @@
 	if r != nil {
 		d.Parameter = r.describe()
 	}
-	reason := s.explainFlow(now, d, r, Packet{Src: src, Dst: dst, Flags: Syn})
+	looked := map[*backend]bool{}
+	reason := s.explainFlow(now, d, r, Packet{Src: src, Dst: dst, Flags: Syn}, looked)
 	d.Reason, d.NextStep = reason.String(), nextSteps[reason]
 	if r != nil {
-		d.Candidates = s.candidates(now, r, d.Endpoint)
+		d.Candidates = s.candidates(now, r, d, looked)
 	}
 	return d
 }
 
-// explainFlow fills in the action and the endpoint, and returns why.
-func (s *Steerer) explainFlow(now time.Time, d *wire.Decision, r *route, p Packet) Reason {
+// explainFlow fills in the action and the endpoint, and returns why; looked takes
+// the endpoints that are looked at for a flow that is not remembered.
+func (s *Steerer) explainFlow(now time.Time, d *wire.Decision, r *route, p Packet, looked map[*backend]bool) Reason {
 	d.Action = Forward.String()
 	f := s.flows[flowKey{p.Src, p.Dst}]
 	_, dropped := s.dropped[p.Dst]
@@ -68,14 +70,14 @@
 		}
 		return Steered
 	}
-	return s.explainOpening(now, d, r, p)
+	return s.explainOpening(now, d, r, p, looked)
 }
 
 // explainOpening fills in what would be done with an opening packet now, and
 // returns why.
-func (s *Steerer) explainOpening(now time.Time, d *wire.Decision, r *route, p Packet) Reason {
+func (s *Steerer) explainOpening(now time.Time, d *wire.Decision, r *route, p Packet, looked map[*backend]bool) Reason {
 	d.Recomputed = true
-	b := s.choose(now, r, p, nil)
+	b := s.choose(now, r, p, nil, func(b *backend) { looked[b] = true })
 	switch {
 	case b == nil && !s.whole:
 		d.Action = Drop.String()
@@ -112,16 +114,20 @@
 
 // candidates tells of each endpoint of a route's services why it is chosen or
 // passed over, by id.
-func (s *Steerer) candidates(now time.Time, r *route, chosen string) []*wire.Candidate {
+func (s *Steerer) candidates(now time.Time, r *route, d *wire.Decision, looked map[*backend]bool) []*wire.Candidate {
 	var all []*wire.Candidate
-	for _, share := range r.Shares {
-		for _, b := range s.pools[share.Service] {
-			verdict := b.verdict(now, s.config.Domain, r.Bulk)
-			if b.ID == chosen {
-				verdict = "chosen; " + verdict
-			}
-			all = append(all, &wire.Candidate{Endpoint: b.ID, Verdict: verdict})
+	for _, b := range s.byID {
+		if !r.leadsTo(b.Service) {
+			continue
+		}
+		verdict := b.verdict(now, s.config.Domain, r.Bulk)
+		switch {
+		case b.ID == d.Endpoint:
+			verdict = "chosen; " + verdict
+		case d.Recomputed && b.listing != nil && !looked[b]:
+			verdict = "not looked at, since others suffice; " + verdict
 		}
+		all = append(all, &wire.Candidate{Endpoint: b.ID, Verdict: verdict})
 	}
 	slices.SortFunc(all, func(a, b *wire.Candidate) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return all
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -116,6 +116,7 @@
 		s.found(b) // it said so a moment ago, and may accept no connection from now on
 	}
 	b.warmUntil = now.Add(e.Warm)
+	s.list(b)
 }
 
 // add begins what is known of an incarnation.
@@ -128,7 +129,6 @@
 	if !e.Addr.IsValid() {
 		return b // only known to have ended: remembered so that nobody revives it
 	}
-	s.pools[e.Service] = append(s.pools[e.Service], b)
 	s.byAddr[e.Addr] = append(s.byAddr[e.Addr], b)
 	s.settleTag(b)
 	return b
@@ -162,7 +162,6 @@
 			delete(heard, id)
 		}
 		itself := func(other *backend) bool { return other == b }
-		s.pools[b.Service] = slices.DeleteFunc(s.pools[b.Service], itself)
 		if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
 			delete(s.byAddr, b.Addr)
 		}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/list"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -55,7 +56,7 @@
 		byID     map[string]*backend
 		byTag    map[uint32]*backend
 		byAddr   map[netip.AddrPort][]*backend // the incarnations that claim each address
-		pools    map[string][]*backend         // by service
+		pools    map[string]*pool              // by service
 		silentBy map[string]map[string]bool    // by control instance, then endpoint
 		whole    bool                          // a control instance has reported every endpoint
 		digest   registry.Digest               // of byID
@@ -68,24 +69,29 @@
 		lost     map[*backend]bool     // those out of reach
 		trips    map[string]*roundTrip // by failure domain of endpoints
 		lifeAt   time.Time             // when any endpoint was last seen to answer
+		source   *rand.PCG             // of random; seeded for each flow that is placed
+		random   *rand.Rand
 	}
 )
 
 // New returns a Steerer that knows nothing yet.
 func New(c Config) *Steerer {
+	source, random := newDraws()
 	return &Steerer{
 		config:   c,
 		dropped:  map[netip.AddrPort]time.Time{},
 		byID:     map[string]*backend{},
 		byTag:    map[uint32]*backend{},
 		byAddr:   map[netip.AddrPort][]*backend{},
-		pools:    map[string][]*backend{},
+		pools:    map[string]*pool{},
 		silentBy: map[string]map[string]bool{},
 		flows:    map[flowKey]*flow{},
 		resting:  list.New(),
 		opening:  list.New(),
 		lost:     map[*backend]bool{},
 		trips:    map[string]*roundTrip{},
+		source:   source,
+		random:   random,
 	}
 }
 
@@ -153,7 +159,7 @@
 	if f != nil {
 		avoid = f.backend
 	}
-	b := s.choose(now, r, p, avoid)
+	b := s.choose(now, r, p, avoid, nil)
 	switch {
 	case b == nil && f != nil:
 		return f.backend.forward(Repeated)
@@ -185,29 +191,3 @@
 func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
 	return !f.open && (p.Copy >= lastCopy || !f.backend.open() || f.backend.suspect(now))
 }
-
-// choose returns the endpoint for a new flow: of the service that the route's
-// weights draw, the least loaded one that is not under suspicion; or, where
-// all are, the least loaded of these.
-func (s *Steerer) choose(now time.Time, r *route, p Packet, avoid *backend) *backend {
-	draw := p.draw()
-	pool := s.pools[r.service(draw)]
-	if len(pool) == 0 {
-		return nil
-	}
-	var best *backend
-	var bestLoad float64
-	bestSuspect := true
-	from := int(draw>>32) % len(pool) // so that ties do not all go to the first
-	for i := range pool {
-		b := pool[(from+i)%len(pool)]
-		if b == avoid || !b.open() {
-			continue
-		}
-		suspect, load := b.suspect(now), b.load(now, s.config.Domain, r.Bulk)
-		if best == nil || bestSuspect && !suspect || bestSuspect == suspect && load < bestLoad {
-			best, bestLoad, bestSuspect = b, load, suspect
-		}
-	}
-	return best
-}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"oxbowsaddle/internal/document"
@@ -66,3 +67,8 @@
 	}
 	return r.Shares[len(r.Shares)-1].Service
 }
+
+// leadsTo reports whether a route may send flows to a service.
+func (r *route) leadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share document.Share) bool { return share.Service == service })
+}
--- a/internal/steer/tag.go
+++ b/internal/steer/tag.go
@@ -32,8 +32,10 @@
 		b.shadowed = true
 	default:
 		first.shadowed = true
+		s.list(first)
 		s.byTag[b.tag] = b
 	}
+	s.list(b)
 }
 
 // before reports whether a has a tag before b: the older one, since flows of its
