Control instances announce themselves to entries they remember

Control instances keep on disk where entries listen, and tell those that are not linked to them, in a datagram every 50 ms for 10 s, where they are. It serves too where none of the seeds that the settings name is a control instance any more.

--- /dev/null
+++ b/internal/announce/schedule_test.go
@@ -0,0 +1,153 @@
+package announce
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestAnnounce(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "announce")
+}
+
+var start = time.Unix(5000, 0)
+
+// addr is where the n-th entry listens.
+func addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 7001)
+}
+
+func addrs(n int) (all []netip.AddrPort) {
+	for i := range n {
+		all = append(all, addr(i))
+	}
+	return all
+}
+
+var _ = Describe("a Schedule", func() {
+	var s *Schedule
+	BeforeEach(func() { s = &Schedule{} })
+
+	It("tells those that were known before a restart until they are linked", func() {
+		s.Remember(start, addrs(2))
+		Expect(s.Due(start)).To(ConsistOf(addr(0), addr(1)))
+		Expect(s.Due(start.Add(Tick))).To(BeEmpty(), "a moment ago")
+		s.Linked(start.Add(Tick), addr(0))
+		Expect(s.Due(start.Add(every))).To(ConsistOf(addr(1)))
+		Expect(s.Due(start.Add(tellFor+time.Second))).To(BeEmpty(), "it has gone, as it seems")
+		Expect(s.Known()).To(Equal(addrs(2)), "and may come back")
+	})
+
+	It("tells a whole fleet within 60 ms and never more than PerTick at once", func() {
+		s.Remember(start, addrs(352))
+		told := map[netip.AddrPort]int{}
+		for now := start; now.Sub(start) < 60*time.Millisecond; now = now.Add(Tick) {
+			due := s.Due(now)
+			Expect(len(due)).To(BeNumerically("<=", PerTick))
+			for _, a := range due {
+				told[a]++
+			}
+		}
+		Expect(told).To(HaveLen(352))
+	})
+
+	It("tells an entry whose last link has ended", func() {
+		s.Linked(start, addr(0))
+		s.Linked(start, addr(0)) // a second link, before the first was noticed to have ended
+		s.Unlinked(start, addr(0))
+		Expect(s.Due(start)).To(BeEmpty())
+		s.Unlinked(start.Add(time.Second), addr(0))
+		Expect(s.Due(start.Add(time.Second))).To(ConsistOf(addr(0)))
+		s.Unlinked(start, addr(1)) // never linked
+		Expect(s.Known()).To(HaveLen(1))
+	})
+
+	It("forgets entries that were not linked for long, and has room again", func() {
+		s.Remember(start, addrs(keepMost))
+		s.Linked(start, netip.AddrPort{})
+		s.Linked(start, addr(keepMost))
+		Expect(s.Known()).To(HaveLen(keepMost))
+		s.Linked(start, addr(3))
+		before := s.Changes()
+		s.Due(start.Add(keepFor + 2*forgetEvery))
+		Expect(s.Known()).To(ConsistOf(addr(3)))
+		Expect(s.Changes()).To(BeNumerically(">", before))
+		s.Linked(start.Add(keepFor+2*forgetEvery), addr(keepMost))
+		Expect(s.Known()).To(HaveLen(2))
+	})
+
+	It("tells exactly those that are not linked, however links come and go", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const entries = 5
+			s, links, since, now := &Schedule{}, map[int]int{}, map[int]time.Time{}, start
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				n := rapid.IntRange(0, entries-1).Draw(t, "entry")
+				switch rapid.IntRange(0, 3).Draw(t, "step") {
+				case 0:
+					s.Linked(now, addr(n))
+					links[n]++
+				case 1:
+					s.Unlinked(now, addr(n))
+					if links[n] > 0 {
+						if links[n]--; links[n] == 0 {
+							since[n] = now
+						}
+					}
+				default:
+					now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+				}
+				now = now.Add(every)
+				var wanted []netip.AddrPort
+				for n, at := range since {
+					if links[n] == 0 && now.Sub(at) <= tellFor {
+						wanted = append(wanted, addr(n))
+					}
+				}
+				if due := s.Due(now); len(wanted) == 0 && len(due) > 0 || len(wanted) > 0 && !sameSet(due, wanted) {
+					t.Fatalf("told %v, wanted %v", due, wanted)
+				}
+			}
+		})
+	})
+})
+
+func sameSet(a, b []netip.AddrPort) bool {
+	count := map[netip.AddrPort]int{}
+	for _, x := range a {
+		count[x]++
+	}
+	for _, x := range b {
+		count[x]--
+	}
+	for _, n := range count {
+		if n != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+var _ = Describe("what an entry has heard", func() {
+	It("counts for a while, and no more than a few at once, the latest ones", func() {
+		var h Heard
+		Expect(h.Recent(start)).To(BeEmpty())
+		for n := range 5 {
+			h.Take(start.Add(time.Duration(n)), addr(n))
+		}
+		Expect(h.Recent(start)).To(Equal([]netip.AddrPort{addr(2), addr(3), addr(4)}))
+		h.Take(start.Add(heardFor), addr(3))
+		Expect(h.Recent(start.Add(heardFor + time.Second))).To(Equal([]netip.AddrPort{addr(3)}))
+	})
+
+	It("is nothing that names no place", func() {
+		var h Heard
+		h.Take(start, netip.AddrPort{})
+		h.Take(start, netip.AddrPortFrom(addr(0).Addr(), 0))
+		Expect(h.Recent(start)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/internal/node/announcements.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/announce"
+	"oxbowsaddle/internal/wire"
+)
+
+// audience is the entries that a control instance announces itself to.
+type audience struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	schedule announce.Schedule
+}
+
+// link notes that an entry which listens at an address is linked, and returns
+// what notes the end of the link. An address that cannot be read is nowhere.
+func (a *audience) link(address string) (end func()) {
+	addr, _ := netip.ParseAddrPort(address)
+	a.update(func(now time.Time, s *announce.Schedule) { s.Linked(now, addr) })
+	return func() {
+		a.update(func(now time.Time, s *announce.Schedule) { s.Unlinked(now, addr) })
+	}
+}
+
+// update changes the schedule.
+func (a *audience) update(change func(now time.Time, s *announce.Schedule)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change(a.now(), &a.schedule)
+}
+
+// remember takes the entries that hints name; what cannot be read is left out.
+func (a *audience) remember(addresses []string) {
+	var all []netip.AddrPort
+	for _, address := range addresses {
+		if addr, err := netip.ParseAddrPort(address); err == nil {
+			all = append(all, addr)
+		}
+	}
+	a.update(func(now time.Time, s *announce.Schedule) { s.Remember(now, all) })
+}
+
+// known returns the entries for the hints.
+func (a *audience) known() (addresses []string) {
+	a.update(func(_ time.Time, s *announce.Schedule) {
+		for _, addr := range s.Known() {
+			addresses = append(addresses, addr.String())
+		}
+	})
+	return addresses
+}
+
+// changes rises with what known returns.
+func (a *audience) changes() (number uint64) {
+	a.update(func(_ time.Time, s *announce.Schedule) { number = s.Changes() })
+	return number
+}
+
+// due returns whom to tell now.
+func (a *audience) due() (addrs []netip.AddrPort) {
+	a.update(func(now time.Time, s *announce.Schedule) { addrs = s.Due(now) })
+	return addrs
+}
+
+// announceLoop announces the instance to entries that are not linked to it until
+// the context ends. A socket that cannot be had costs the announcements only.
+func (c *Control) announceLoop(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.config.Peer.Addr(), 0)))
+	if err != nil {
+		c.config.Log.Error("cannot announce to entries", "error", err)
+		return nil
+	}
+	defer func() { _ = conn.Close() }()
+	datagram, err := proto.Marshal(&wire.ControlInstance{Address: c.config.Peer.String(), Domain: c.config.Domain})
+	if err != nil {
+		return err
+	}
+	ticker := time.NewTicker(announce.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		for _, addr := range c.audience.due() {
+			_, _ = conn.WriteToUDPAddrPort(datagram, addr) // one that is lost is repeated
+		}
+	}
+}
+
+// announcementLoop takes announcements of control instances until the context
+// ends. An address that is taken costs the announcements only.
+func (e *Entry) announcementLoop(ctx context.Context) error {
+	if !e.config.Operators.IsValid() {
+		return nil
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.config.Operators))
+	if err != nil {
+		e.config.Log.Error("announcements cannot be heard", "address", e.config.Operators, "error", err)
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	raw := make([]byte, packetMost)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(raw)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err == nil {
+			e.hearAnnouncement(ctx, raw[:n])
+		}
+	}
+}
+
+// hearAnnouncement takes one datagram. An entry that is linked learns of control
+// instances by rosters.
+func (e *Entry) hearAnnouncement(ctx context.Context, raw []byte) {
+	var instance wire.ControlInstance
+	addr, err := netip.AddrPort{}, proto.Unmarshal(raw, &instance)
+	if err == nil {
+		addr, err = netip.ParseAddrPort(instance.Address)
+	}
+	if err != nil {
+		e.announced.malformed.Add(1)
+		return
+	}
+	e.announced.heard.Add(1)
+	if !e.linked() {
+		e.watch.takeAnnouncement(ctx, e.config.Now(), addr)
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -47,6 +47,7 @@
 		documents notifier
 		endpoints *endpointList
 		firstList *firstList
+		audience  *audience
 		entries   *entryList
 		timings   controlTimings
 		peers     *peerLinks
@@ -68,6 +69,7 @@
 		endpoints: newEndpointList(c), entries: newEntryList(c.Now), timings: newControlTimings(),
 	}
 	control.firstList = &firstList{endpoints: control.endpoints}
+	control.audience = &audience{now: c.Now}
 	control.status.Store(&madeStatus{})
 	control.published.Store(&published{})
 	control.roster.Store(&madeRoster{roster: &wire.Roster{}})
@@ -87,6 +89,7 @@
 	group.Go(func() error { return c.endpoints.loop(ctx) })
 	group.Go(func() error { return c.loop(ctx) })
 	group.Go(func() error { return c.hintsLoop(ctx) })
+	group.Go(func() error { return c.announceLoop(ctx) })
 	return group.Wait()
 }
 
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -19,6 +19,11 @@
 		byOutcome [steer.OutcomeCount]atomic.Uint64
 	}
 
+	// announcementCounts counts what came as announcements of control instances.
+	announcementCounts struct {
+		heard, malformed atomic.Uint64
+	}
+
 	// figure is a counter or gauge with its name, labels included.
 	figure struct {
 		name  string
@@ -61,6 +66,8 @@
 		figure{"oxbowsaddle_endpoints_silent", uint64(c.Silent)},
 		figure{"oxbowsaddle_endpoints_suspect", uint64(c.Suspect)},
 		figure{"oxbowsaddle_endpoints_lost", uint64(c.Lost)},
+		figure{"oxbowsaddle_announcements_total", e.announced.heard.Load()},
+		figure{"oxbowsaddle_announcements_malformed_total", e.announced.malformed.Load()},
 		figure{"oxbowsaddle_document_version", c.Version},
 	)
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -34,7 +34,8 @@
 		Name    string
 		Domain  string
 		Packets netip.AddrPort // where callers' packets arrive; resets go to the same port
-		// Operators is where their commands are answered; the zero value is nowhere.
+		// Operators is where their commands are answered, and where announcements of
+		// control instances are heard; the zero value is nowhere.
 		Operators netip.AddrPort
 		Seeds     []netip.AddrPort // peer addresses of control instances
 		MaxFlow   time.Duration    // no flow is older
@@ -56,6 +57,7 @@
 		stopping  atomic.Bool
 		counts    packetCounts
 		asked     questionCounts
+		announced announcementCounts
 		kept      *keptRing
 		timings   entryTimings
 		questions chan steer.Question
@@ -110,6 +112,7 @@
 	group.Go(func() error { return e.packetLoop(ctx, conn) })
 	group.Go(func() error { return e.questionLoop(ctx, conn) })
 	group.Go(func() error { return e.doubtLoop(ctx) })
+	group.Go(func() error { return e.announcementLoop(ctx) })
 	group.Go(func() error { return e.serveOperators(ctx) })
 	return group.Wait()
 }
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -21,6 +21,9 @@
 	entry := l.watch.entry
 	digest := entry.digest()
 	hello := &wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:], Brief: true}
+	if entry.config.Operators.IsValid() {
+		hello.Announce = entry.config.Operators.String()
+	}
 	if err := l.send(helloFrame(hello)); err != nil {
 		return err
 	}
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -16,14 +16,15 @@
 	hintsEvery = 250 * time.Millisecond
 )
 
-// loadHints reads what was known before the restart, and fills the list of
-// endpoints with it; a damaged file is none.
+// loadHints reads what was known before the restart, and fills the lists of
+// endpoints and of entries with it; a damaged file is none.
 func (c *Control) loadHints(files storage.Files) *wire.Hints {
 	hints := &wire.Hints{}
 	if _, err := storage.LoadMessage(files, hintsName, hints); err != nil {
 		c.config.Log.Warn("hints cannot be read", "error", err)
 		return &wire.Hints{}
 	}
+	c.audience.remember(hints.Entries)
 	if hints.Reports == nil {
 		return hints
 	}
@@ -41,23 +42,23 @@
 func (c *Control) hintsLoop(ctx context.Context) error {
 	ticker := time.NewTicker(hintsEvery)
 	defer ticker.Stop()
-	var commit, number uint64
+	var commit, number, entries uint64
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
-		known, changed := c.Status().Commit, c.endpoints.changed()
-		if known == commit && changed == number {
+		known, changed, audience := c.Status().Commit, c.endpoints.changed(), c.audience.changes()
+		if known == commit && changed == number && audience == entries {
 			continue
 		}
-		hints := &wire.Hints{Commit: known, Reports: c.endpoints.changesAfter(0)}
+		hints := &wire.Hints{Commit: known, Reports: c.endpoints.changesAfter(0), Entries: c.audience.known()}
 		if err := c.saveHints(hints); err != nil {
 			c.config.Log.Warn("hints not written", "error", err)
 			continue
 		}
-		commit, number = known, changed
+		commit, number, entries = known, changed, audience
 	}
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -56,6 +56,7 @@
 	feed := newEntryFeed(h.control, stream, hello)
 	h.control.entries.heard(feed, 0)
 	defer h.control.entries.lost(feed)
+	defer h.control.audience.link(hello.Announce)()
 	go feed.receiveLoop(ctx, cancel)
 	return feed.run(ctx)
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"oxbowsaddle/internal/announce"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/wire"
 )
@@ -30,7 +31,8 @@
 	seeds  []string
 	links  map[string]context.CancelFunc // by address
 	listed map[string][]string           // by the address of the roster's sender
-	turn   chan struct{}                 // held by the link that loads its first table
+	heard  announce.Heard
+	turn   chan struct{} // held by the link that loads its first table
 }
 
 func newWatch(e *Entry) *watch {
@@ -61,8 +63,18 @@
 	w.connect(ctx)
 }
 
-// connect keeps links to whatever is a seed or listed by anybody in reach, and
-// ends others. Links that stand are kept before others are begun, so that the
+// takeAnnouncement takes that a control instance has announced itself. After a
+// loss of power it may be up before any seed, and after an exchange of the seeds
+// none of those that the settings name may be one.
+func (w *watch) takeAnnouncement(ctx context.Context, now time.Time, addr netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard.Take(now, addr)
+	w.connect(ctx)
+}
+
+// connect keeps links to whatever is a seed, listed by anybody in reach or has
+// announced itself lately, and ends others. Links that stand are kept before others are begun, so that the
 // bound does not make them change about.
 func (w *watch) connect(ctx context.Context) {
 	named := map[string]bool{}
@@ -74,6 +86,9 @@
 			named[address] = true
 		}
 	}
+	for _, addr := range w.heard.Recent(w.entry.config.Now()) {
+		named[addr.String()] = true
+	}
 	for address, cancel := range w.links {
 		if !named[address] {
 			cancel()
