An entry that knows nothing is told of its own failure domain first

The list of 600 endpoints takes 42 ms of a link of 2 Mbit/s; the fifth of it that is of the own failure domain, where nearly all flows are, takes 10.

--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -39,7 +39,7 @@
 		if err := l.take(ctx, frame); err != nil {
 			return err
 		}
-		if frame.GetReports() != nil {
+		if reports := frame.GetReports(); reports != nil && !reports.More {
 			loaded()
 		}
 	}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -160,12 +160,17 @@
 // sendFirstList tells an entry that knows nothing of every endpoint. What has
 // changed since the list was made follows.
 func (f *entryFeed) sendFirstList() error {
-	frame, number := f.control.firstList.get()
+	frames, number := f.control.firstList.get(f.domain)
 	f.sent = number
 	if f.control.endpoints.changed() > number {
 		f.gather()
 	}
-	return f.stream.Send(frame)
+	for _, frame := range frames {
+		if err := f.stream.Send(frame); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // reportsFrame returns the frame that tells of endpoints.
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -13,27 +13,50 @@
 // Below a heartbeat period, so that ages and sequences in it are right enough.
 const firstListFor = 250 * time.Millisecond
 
-// firstList is the frame that tells an entry of every endpoint, made once for
-// all that ask within firstListFor. After a loss of power all entries ask at
-// once: making it for each took 1.5 of 2.3 ms of processor time an entry, at 600
-// endpoints, which are 1.4 s for 295 entries on half a core.
+// firstList is the frames that tell an entry of every endpoint, made once for all
+// of a failure domain that ask within firstListFor. After a loss of power all
+// entries ask at once: making them for each took 1.9 of 2.3 ms of processor time
+// an entry, at 600 endpoints, which are 1.2 s for 295 entries on half a core.
 type firstList struct {
 	endpoints *endpointList
 
-	mu     sync.Mutex // held while the frame is made, so that it is made once
-	frame  *wire.Frame
-	number uint64 // of the last change that it tells of
-	madeAt time.Time
+	mu      sync.Mutex // held while frames are made, so that they are made once
+	reports *wire.Reports
+	frames  map[string][]*wire.Frame // by failure domain
+	madeAt  time.Time
 }
 
-// get returns the frame, and the number of the last change that it tells of.
-func (l *firstList) get() (*wire.Frame, uint64) {
+// get returns the frames for an entry of a failure domain, and the number of the
+// last change that they tell of.
+func (l *firstList) get(domain string) ([]*wire.Frame, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.endpoints.now()
-	if l.number == 0 || now.Sub(l.madeAt) > firstListFor {
-		reports := l.endpoints.lacking(registry.Digest{})
-		l.frame, l.number, l.madeAt = pack(reportsFrame(reports), packWell), reports.Number, now
+	if l.reports == nil || l.reports.Number == 0 || now.Sub(l.madeAt) > firstListFor {
+		l.reports, l.frames, l.madeAt = l.endpoints.lacking(registry.Digest{}), map[string][]*wire.Frame{}, now
 	}
-	return l.frame, l.number
+	if l.frames[domain] == nil {
+		l.frames[domain] = firstFrames(l.reports, domain)
+	}
+	return l.frames[domain], l.reports.Number
+}
+
+// firstFrames returns the frames that tell of all endpoints. Those of the entry's
+// own failure domain, on which nearly all of its flows are, come first by
+// themselves: of 600 endpoints in five they take 10 ms of a link of 2 Mbit/s, and
+// all of them 42 ms.
+func firstFrames(all *wire.Reports, domain string) []*wire.Frame {
+	near := &wire.Reports{More: true}
+	rest := &wire.Reports{Number: all.Number, Whole: all.Whole, Same: all.Same}
+	for _, m := range all.Endpoints {
+		if m.Domain == domain {
+			near.Endpoints = append(near.Endpoints, m)
+		} else {
+			rest.Endpoints = append(rest.Endpoints, m)
+		}
+	}
+	if len(near.Endpoints) == 0 || len(rest.Endpoints) == 0 {
+		return []*wire.Frame{pack(reportsFrame(all), packWell)}
+	}
+	return []*wire.Frame{pack(reportsFrame(near), packWell), pack(reportsFrame(rest), packWell)}
 }
--- a/internal/node/firstlist_bench_test.go
+++ b/internal/node/firstlist_bench_test.go
@@ -18,7 +18,8 @@
 
 // BenchmarkFirstLists tells what it costs a control instance that 295 entries
 // which know nothing ask for 600 endpoints at once, as after a loss of power, in
-// processor time of both ends: go test ./internal/node -run '^$' -bench FirstLists -benchtime 1x.
+// processor time of both ends but for what the entry makes of the list: 2,340 µs an
+// entry where each has a list made, 410 µs where they share one: go test ./internal/node -run '^$' -bench FirstLists -benchtime 1x.
 func BenchmarkFirstLists(b *testing.B) {
 	const entries, endpoints = 295, 600
 	f := startFleet(80, 1, 1, b.TempDir, log.New(io.Discard))
@@ -62,7 +63,7 @@
 		return nil
 	}
 	defer done()
-	if err := stream.Send(helloFrame(&wire.Hello{Id: "e", Domain: "plateau", Brief: true})); err != nil {
+	if err := stream.Send(helloFrame(&wire.Hello{Id: "e", Domain: "almadies", Brief: true})); err != nil {
 		b.Error(err)
 		return nil
 	}
--- a/internal/node/firstlist_test.go
+++ b/internal/node/firstlist_test.go
@@ -40,7 +40,7 @@
 	// newcomer returns the feed of an entry that has just been told all.
 	newcomer := func(known registry.Digest) (*entryFeed, *recordingStream) {
 		stream := &recordingStream{}
-		f := newEntryFeed(control, stream, &wire.Hello{Id: "entry", Digest: known[:]})
+		f := newEntryFeed(control, stream, &wire.Hello{Id: "entry", Domain: "plateau", Digest: known[:]})
 		Expect(f.sendReports()).To(Succeed())
 		return f, stream
 	}
@@ -73,6 +73,23 @@
 		Expect(stream.sent[0].GetReports().Endpoints).To(HaveLen(1))
 	})
 
+	ginkgo.It("begins with the entry's own failure domain, and is whole only with the rest", func() {
+		near := endpoint(2)
+		near.Domain = "plateau"
+		control.endpoints.hear(near)
+		now = now.Add(time.Minute) // every endpoint has had the time to be heard
+		f, stream := newcomer(registry.Digest{})
+		Expect(stream.sent).To(HaveLen(2))
+		first, rest := stream.sent[0].GetReports(), stream.sent[1].GetReports()
+		Expect(first.Endpoints).To(ConsistOf(HaveField("Id", near.ID)))
+		Expect(first.More).To(BeTrue())
+		Expect(first.Whole).To(BeFalse(), "an endpoint that it does not name may live")
+		Expect(rest.Endpoints).To(ConsistOf(HaveField("Id", endpoint(1).ID)))
+		Expect(rest.More).To(BeFalse())
+		Expect(rest.Whole).To(BeTrue())
+		Expect(f.sent).To(Equal(rest.Number))
+	})
+
 	ginkgo.It("is not for an entry that knows some", func() {
 		var known registry.Digest
 		known.Toggle(endpoint(1).ID, registry.Sum(endpoint(1)))
