--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -17,6 +17,10 @@
 	// them whole: long enough for that one to have told them, and still far
 	// below the time that an entry has.
 	briefGap = 200 * time.Millisecond
+	// restGap is how long the rest of the first list waits for the entry to ask for
+	// the document, which it needs for new flows and would otherwise have after the list,
+	// 42 ms later over a link of 2 Mbit/s: several round trips between failure domains.
+	restGap = 15 * time.Millisecond
 	// doubtsWaiting bounds the doubts that an entry has not been told of yet: more
 	// endpoints than a failure domain of the largest deployment played has.
 	doubtsWaiting = 64
@@ -39,6 +43,8 @@
 	brief   bool             // another control instance tells it whole records
 	due     <-chan time.Time // when changes have gathered, nil while there are none
 	sent    uint64           // number of the last reports, 0 before the first
+	rest    []*wire.Frame    // of the first list, not sent yet
+	restDue <-chan time.Time // when it is sent at the latest, nil while there is none
 	offered *published       // what the last offer told of
 }
 
@@ -106,8 +112,10 @@
 			err = f.sendReports()
 		case <-documents:
 			err = f.sendOffer()
+		case <-f.restDue:
+			err = f.sendRest()
 		case held := <-f.wants:
-			err = f.sendDocument(held)
+			err = f.answerWant(held)
 		case ids := <-f.records:
 			err = f.stream.Send(reportsFrame(f.control.endpoints.records(ids)))
 		case id := <-f.doubts:
@@ -157,14 +165,24 @@
 	return f.stream.Send(pack(reportsFrame(reports), packFast))
 }
 
-// sendFirstList tells an entry that knows nothing of every endpoint. What has
-// changed since the list was made follows.
+// sendFirstList tells an entry that knows nothing of the endpoints of its own
+// failure domain; the rest follows, with what has changed since the list was made.
 func (f *entryFeed) sendFirstList() error {
 	frames, number := f.control.firstList.get(f.domain)
 	f.sent = number
 	if f.control.endpoints.changed() > number {
 		f.gather()
 	}
+	if f.rest = frames[1:]; len(f.rest) > 0 {
+		f.restDue = time.After(restGap)
+	}
+	return f.stream.Send(frames[0])
+}
+
+// sendRest tells the rest of the first list.
+func (f *entryFeed) sendRest() error {
+	frames := f.rest
+	f.rest, f.restDue = nil, nil
 	for _, frame := range frames {
 		if err := f.stream.Send(frame); err != nil {
 			return err
@@ -190,6 +208,15 @@
 	}
 }
 
+// answerWant sends the document to an entry that asks for it, and then what it
+// has held up.
+func (f *entryFeed) answerWant(held uint64) error {
+	if err := f.sendDocument(held); err != nil {
+		return err
+	}
+	return f.sendRest()
+}
+
 // sendDocument sends what is in force, as what differs from the version that
 // the entry holds where that one is remembered.
 func (f *entryFeed) sendDocument(held uint64) error {
--- a/internal/node/firstlist_test.go
+++ b/internal/node/firstlist_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"oxbowsaddle/internal/document"
 	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
@@ -17,10 +19,14 @@
 type recordingStream struct {
 	wire.DRPCDirectory_LinkStream
 	sent []*wire.Frame
+	told func(*wire.Frame) // nil where nobody listens
 }
 
 func (s *recordingStream) Send(f *wire.Frame) error {
 	s.sent = append(s.sent, f)
+	if s.told != nil {
+		s.told(f)
+	}
 	return nil
 }
 
@@ -79,8 +85,16 @@
 		control.endpoints.hear(near)
 		now = now.Add(time.Minute) // every endpoint has had the time to be heard
 		f, stream := newcomer(registry.Digest{})
-		Expect(stream.sent).To(HaveLen(2))
-		first, rest := stream.sent[0].GetReports(), stream.sent[1].GetReports()
+		Expect(stream.sent).To(HaveLen(1), "the document may come before the rest")
+		Expect(f.restDue).NotTo(BeNil())
+		doc, _ := document.New(document.Config{Version: 1})
+		control.published.Store(control.published.Load().with(doc, true))
+		Expect(f.answerWant(0)).To(Succeed())
+		Expect(f.restDue).To(BeNil())
+		Expect(f.sendRest()).To(Succeed(), "which is no more")
+		Expect(stream.sent).To(HaveLen(3))
+		Expect(stream.sent[1].GetDocument()).NotTo(BeNil())
+		first, rest := stream.sent[0].GetReports(), stream.sent[2].GetReports()
 		Expect(first.Endpoints).To(ConsistOf(HaveField("Id", near.ID)))
 		Expect(first.More).To(BeTrue())
 		Expect(first.Whole).To(BeFalse(), "an endpoint that it does not name may live")
@@ -90,6 +104,23 @@
 		Expect(f.sent).To(Equal(rest.Number))
 	})
 
+	ginkgo.It("is told to its end though the entry asks for no document", func() {
+		near := endpoint(2)
+		near.Domain = "plateau"
+		control.endpoints.hear(near)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		stream := &recordingStream{}
+		stream.told = func(f *wire.Frame) {
+			if reports := f.GetReports(); reports != nil && !reports.More {
+				cancel()
+			}
+		}
+		f := newEntryFeed(control, stream, &wire.Hello{Id: "entry", Domain: "plateau"})
+		Expect(f.run(ctx)).To(MatchError(context.Canceled))
+		Expect(stream.sent[len(stream.sent)-1].GetReports().Endpoints).To(ConsistOf(HaveField("Id", endpoint(1).ID)))
+	})
+
 	ginkgo.It("is not for an entry that knows some", func() {
 		var known registry.Digest
 		known.Toggle(endpoint(1).ID, registry.Sum(endpoint(1)))
