--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -294,6 +294,28 @@
 		Expect(s.Answered(now, q, Missed)).To(ConsistOf(HaveField("Src", opening(4000, 0, 0).Src)))
 	})
 
+	It("end only the flows that come through the entry out of whose reach they are", func() {
+		b := &asked{}
+		beside := New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 100, Beat: time.Second, Ask: b.ask, Tell: b.tell})
+		beside.SetDocument(now, testDocument(1, routeTo(bookingAddr, "booking")))
+		beside.Learn(now, "c1", reports(report("booking", 1, nil), report("booking", 2, nil)))
+		beside.Decide(now, later(1500, dead, 8, 1, 10)) // a flow of the endpoint that comes through the other entry
+
+		now = now.Add(time.Second)
+		request(1000, dead, 8)
+		Expect(miss()).To(BeEmpty())
+		Expect(miss()).To(HaveLen(1), "the flow that comes through this entry cannot go on")
+		Expect(a.told).To(HaveLen(1))
+
+		beside.Doubted(now, a.told[0])
+		q := b.take()
+		Expect(q.Why).To(Equal(Told))
+		Expect(beside.Answered(now, q, Reached)).To(BeEmpty())
+		Expect(beside.Decide(now, later(1500, dead, 18, 2, 10)).Reason).To(Equal(Steered))
+		Expect(beside.Decide(now, later(1000, dead, 18, 2, 10)).Reason).To(Equal(Steered), "routers may hand it over meanwhile")
+		Expect(beside.Counts(now).Lost).To(BeZero())
+	})
+
 	It("never end the flows of an endpoint that accepts connections, whatever callers repeat", func() {
 		for seed := range uint64(100) {
 			random := rand.New(rand.NewPCG(seed, 5))
