--- a/internal/announce/schedule.go
+++ b/internal/announce/schedule.go
@@ -14,11 +14,11 @@
 const (
 	// Tick is how often Due is asked.
 	Tick = 20 * time.Millisecond
-	// PerTick bounds the datagrams at once: 7,500 a second, some 5% of a core. All
-	// of 352 entries are told within 60 ms, 6,800 within a second.
+	// PerTick bounds the datagrams at once: 7,500 a second, 4% of a core (5 µs each
+	// on loopback). All of 352 entries are told within 60 ms, 6,800 within a second.
 	PerTick = 150
-	// every is how soon an entry is told again: entries start within 0.2 s of each
-	// other, and what is told before is lost.
+	// every is how soon an entry is told again, at the next Tick: entries start
+	// within 0.2 s of each other, and what is told before is lost.
 	every = 50 * time.Millisecond
 	// tellFor is how long an entry is told after it was linked last, or after the
 	// control instance started: several times what a restart takes.
