--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -113,7 +113,7 @@
 	}
 	const perLoss = 2 // so many voters more for each lost instance, and one
 	control := node.NewControl(node.ControlConfig{
-		Domain: s.Domain, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First,
+		Domain: s.Domain, Domains: s.Domains, Peer: s.Peer, Front: s.Control.String(), Seeds: s.Seeds, First: s.First,
 		Files:  func() (storage.Files, error) { return storage.Folder(s.Data) },
 		Voters: perLoss*s.Losses + 1, Beat: s.Beat, Dial: node.DialTCP, Log: p.log, Now: node.SteadyClock(),
 	})
--- a/internal/cmd/cmd_status.go
+++ b/internal/cmd/cmd_status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -76,6 +77,9 @@
 	if !s.ByLeader {
 		fmt.Fprintln(w, "  the leader cannot be asked: leases and lag are not known")
 	}
+	if s.Evacuations > 0 {
+		fmt.Fprintf(w, "  evacuated: %s, by revision %d\n", evacuatedText(s), s.Evacuations)
+	}
 	for _, m := range s.Members {
 		fmt.Fprintf(w, "  entry %-16s %-12s applied %d, silent %s, leased %v, leaving %v\n", m.Name, m.Domain, m.Applied,
 			time.Duration(m.SilentNanos).Round(time.Millisecond), m.Leased, m.Leaving)
@@ -89,6 +93,14 @@
 	}
 }
 
+// evacuatedText names the failure domains that are evacuated.
+func evacuatedText(s *wire.StatusReply) string {
+	if len(s.Evacuated) == 0 {
+		return "none"
+	}
+	return strings.Join(s.Evacuated, ", ")
+}
+
 // waitedFor tells what a leaving endpoint still holds; only the fabric that
 // carries no tags has buckets.
 func waitedFor(d *wire.DrainStatus) string {
--- a/internal/cmd/cmd_why.go
+++ b/internal/cmd/cmd_why.go
@@ -123,7 +123,9 @@
 // laggingMembers returns the members that hold no lease or lack something.
 func laggingMembers(s *wire.StatusReply) []*wire.MemberStatus {
 	all := append([]*wire.MemberStatus{}, s.Members...) // not null for a script
-	return slices.DeleteFunc(all, func(m *wire.MemberStatus) bool { return m.Leased && m.Applied >= s.Commit })
+	return slices.DeleteFunc(all, func(m *wire.MemberStatus) bool {
+		return m.Leased && m.Applied >= s.Commit && m.Evacuations >= s.Evacuations
+	})
 }
 
 // printLag names who lags and what each of them keeps from being in use.
@@ -134,7 +136,7 @@
 	}
 	behind := laggingMembers(s)
 	for _, m := range behind {
-		printLagging(w, m, s.Commit)
+		printLagging(w, m, s)
 	}
 	if len(behind) == 0 {
 		fmt.Fprintf(w, "nobody lags: all %d entries have applied %d, in use is %d\n", len(s.Members), s.Commit, s.Active)
@@ -143,13 +145,20 @@
 }
 
 // printLagging tells what one member lacks of the last revision.
-func printLagging(w io.Writer, m *wire.MemberStatus, commit uint64) {
+func printLagging(w io.Writer, m *wire.MemberStatus, s *wire.StatusReply) {
 	silent := time.Duration(m.SilentNanos).Round(time.Millisecond)
 	if !m.Leased {
 		fmt.Fprintf(w, "%s in %s holds no lease, silent for %s; it decides nothing new. Look at its network and its log.\n", m.Name, m.Domain, silent)
 		return
 	}
-	fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n", m.Name, m.Domain, m.Applied, commit, silent)
+	if m.Evacuations < s.Evacuations {
+		fmt.Fprintf(w, "%s in %s has evacuations by revision %d of %d in force, silent for %s; until then it may send new flows to: %s.\n",
+			m.Name, m.Domain, m.Evacuations, s.Evacuations, silent, evacuatedText(s))
+	}
+	if m.Applied < s.Commit {
+		fmt.Fprintf(w, "%s in %s has applied %d of %d, silent for %s; later changes wait for it until its lease runs out.\n",
+			m.Name, m.Domain, m.Applied, s.Commit, silent)
+	}
 }
 
 func cmdWhyDrain() *cobra.Command {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,6 +1,7 @@
 // Package directory is the core of a control instance of a fleet whose fabric
 // carries tags: the document in force, kept by the replicated log under the
-// rule that the highest version wins, and the list of control instances, kept
+// rule that the highest version wins, the evacuated failure domains, of which the
+// last order in the log wins, and the list of control instances, kept
 // in the log too. It has no I/O: the caller feeds in messages, orders and the
 // time, and takes out what to persist, to send and to answer, in that order.
 package directory
@@ -11,6 +12,7 @@
 	"time"
 
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/evacuation"
 	"oxbowsaddle/internal/replica"
 	"oxbowsaddle/internal/storage"
 	"oxbowsaddle/internal/wire"
@@ -57,20 +59,22 @@
 	Status struct {
 		Self, Role, Leader    string
 		Term, Commit, Version uint64
+		Evacuations           *evacuation.Set
 		Voters                []string
 		Current, Confirmed    bool
 	}
 
 	// Directory is one control instance. One goroutine uses it.
 	Directory struct {
-		config    Config
-		replica   *replica.Replica
-		document  *document.Document
-		applied   uint64
-		proposals map[uint64]uint64 // term by index
-		peers     map[string]*peer
-		replaced  map[string]bool // ids whose address another id has now
-		ledSince  time.Time
+		config      Config
+		replica     *replica.Replica
+		document    *document.Document
+		evacuations *evacuation.Set
+		applied     uint64
+		proposals   map[uint64]uint64 // term by index
+		peers       map[string]*peer
+		replaced    map[string]bool // ids whose address another id has now
+		ledSince    time.Time
 	}
 )
 
@@ -89,7 +93,7 @@
 		if e.Index > c.Committed || len(e.Command) == 0 {
 			continue
 		}
-		if err := d.take(e.Command); err != nil {
+		if err := d.take(e.Index, e.Command); err != nil {
 			return nil, err
 		}
 	}
@@ -129,6 +133,7 @@
 	s := Status{
 		Self: d.config.Self, Role: d.replica.Role().String(), Leader: d.replica.Leader(), Term: d.replica.Term(),
 		Commit: d.replica.Commit(), Voters: d.replica.Voters(), Current: d.replica.Current(now), Confirmed: d.replica.Confirmed(),
+		Evacuations: d.evacuations,
 	}
 	if d.document != nil {
 		s.Version = d.document.Version()
--- /dev/null
+++ b/internal/directory/evacuation_test.go
@@ -0,0 +1,162 @@
+package directory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/evacuation"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+// evacuator is an operator of one failure domain. It has one order under way at a
+// time, and sends it again to any instance until it is acknowledged.
+type evacuator struct {
+	domain  string
+	order   *evacuation.Order // under way, nil for none
+	settled *evacuation.Order // acknowledged last, nil for none
+}
+
+// act begins an order now and then, and sends the one under way to some machine.
+func (f *fleet) act(e *evacuator) {
+	if e.order == nil {
+		if f.rng.IntN(10) > 0 {
+			return
+		}
+		e.order = &evacuation.Order{Domain: e.domain, Undo: f.rng.IntN(2) == 0}
+	}
+	m := f.machines[f.rng.IntN(len(f.machines))]
+	if m.d == nil || m.frozen.After(f.now) {
+		return
+	}
+	order := e.order
+	acknowledged := func() {
+		if e.order == order {
+			e.order, e.settled = nil, order
+		}
+	}
+	index, done, err := m.d.Evacuate(f.now, *order)
+	switch {
+	case err != nil:
+	case done:
+		acknowledged()
+	default:
+		m.orders[index] = acknowledged
+		f.process(m)
+	}
+}
+
+// checkEvacuations asserts that an instance goes only forward within one life,
+// and that a revision means the same everywhere.
+func (f *fleet) checkEvacuations(m *machine) {
+	set := m.d.Evacuations()
+	Expect(set.Revision()).To(BeNumerically(">=", m.revision), "seed %d: %s went back", f.seed, m.id)
+	m.revision = set.Revision()
+	domains := fmt.Sprint(set.Domains())
+	if known, ok := f.evacuated[set.Revision()]; ok {
+		Expect(domains).To(Equal(known), "seed %d: revision %d is two things", f.seed, set.Revision())
+	}
+	f.evacuated[set.Revision()] = domains
+}
+
+// checkSettled asserts that whoever can show the newest holds what was
+// acknowledged last.
+func (f *fleet) checkSettled(m *machine) {
+	for _, e := range f.evacuators {
+		if e.order == nil && e.settled != nil {
+			Expect(m.d.Evacuations().Holds(*e.settled)).To(BeTrue(), "seed %d: %s does not hold %s", f.seed, m.id, e.settled)
+		}
+	}
+}
+
+// alone returns an instance that is the only voter, and has elected itself.
+func alone(now time.Time, loaded *storage.Loaded) *Directory {
+	d, err := New(Config{
+		Self: "10.0.0.1:7000", Address: "10.0.0.1:7000", Founders: []string{"10.0.0.1:7000"}, Voters: 1, Rand: rand.New(rand.NewPCG(1, 1)),
+	}, now, loaded)
+	Expect(err).NotTo(HaveOccurred())
+	return d
+}
+
+// carry lets an instance go on for a second, and returns what is done.
+func carry(d *Directory, now time.Time) (done []uint64, after time.Time) {
+	for range 40 {
+		now = now.Add(25 * time.Millisecond)
+		d.Tick(now)
+		ready, err := d.Ready(now)
+		Expect(err).NotTo(HaveOccurred())
+		done = append(done, ready.Done...)
+	}
+	return done, now
+}
+
+var _ = Describe("evacuations at one control instance", func() {
+	var (
+		d   *Directory
+		now time.Time
+	)
+	BeforeEach(func() {
+		now = time.Unix(5000, 0)
+		d = alone(now, &storage.Loaded{Hard: &wire.HardState{}})
+		_, now = carry(d, now)
+	})
+
+	It("take an order back that is offered before the first one is committed", func() {
+		first, done, err := d.Evacuate(now, evacuation.Order{Domain: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(BeFalse())
+		second, done, err := d.Evacuate(now, evacuation.Order{Domain: "a", Undo: true})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(BeFalse(), "acknowledged though the order before it is still to come")
+		finished, _ := carry(d, now)
+		Expect(finished).To(Equal([]uint64{first, second}))
+		Expect(d.Evacuations().Domains()).To(BeEmpty())
+	})
+
+	It("are acknowledged again without another entry of the log", func() {
+		_, _, err := d.Evacuate(now, evacuation.Order{Domain: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		_, now = carry(d, now)
+		last := d.replica.LastIndex()
+		_, done, err := d.Evacuate(now, evacuation.Order{Domain: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(done).To(BeTrue())
+		Expect(d.replica.LastIndex()).To(Equal(last))
+	})
+
+	It("outlive a snapshot, beside the document", func() {
+		doc, faults := document.New(document.Config{Version: 7})
+		Expect(faults).To(BeEmpty())
+		_, _, err := d.Put(now, doc)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = d.Evacuate(now, evacuation.Order{Domain: "b"})
+		Expect(err).NotTo(HaveOccurred())
+		_, now = carry(d, now)
+		file, hard, _, err := d.Compact()
+		Expect(err).NotTo(HaveOccurred())
+		again := alone(now, &storage.Loaded{Snapshot: file, Hard: hard})
+		Expect(again.Evacuations().Domains()).To(Equal([]string{"b"}))
+		Expect(again.Evacuations().Revision()).To(Equal(d.Evacuations().Revision()))
+		Expect(again.Document().Version()).To(Equal(uint64(7)))
+	})
+
+	It("leave a log that was written before them readable", func() {
+		doc, faults := document.New(document.Config{Version: 9, Source: []byte("{}")})
+		Expect(faults).To(BeEmpty())
+		bare, err := proto.Marshal(doc.Message())
+		Expect(err).NotTo(HaveOccurred())
+		old := alone(now, &storage.Loaded{
+			Hard:     &wire.HardState{Term: 1},
+			Snapshot: &wire.SnapshotFile{Index: 4, Term: 1, Voters: []string{"10.0.0.1:7000"}, State: bare},
+		})
+		Expect(old.Document().Version()).To(Equal(uint64(9)))
+		Expect(old.take(5, bare)).To(Succeed())
+		Expect(old.Evacuations().Domains()).To(BeEmpty())
+	})
+})
--- a/internal/directory/faults_test.go
+++ b/internal/directory/faults_test.go
@@ -88,6 +88,9 @@
 		if f.rng.IntN(8) == 0 {
 			f.order()
 		}
+		if f.rng.IntN(20) == 0 {
+			f.act(f.evacuators[f.rng.IntN(len(f.evacuators))])
+		}
 		if !f.calm() {
 			f.postponeCatchUp()
 		}
@@ -124,6 +127,7 @@
 			continue
 		}
 		leaders++
+		f.checkSettled(m)
 		if f.acked > 0 {
 			Expect(doc).NotTo(BeNil(), "seed %d: everything acknowledged is lost", f.seed)
 			Expect(doc.Version()).To(BeNumerically(">=", f.acked), "seed %d: the newest acknowledged is lost", f.seed)
--- a/internal/directory/fleet_test.go
+++ b/internal/directory/fleet_test.go
@@ -52,6 +52,10 @@
 		hint    uint64    // committed index on its disk, as it was at some time
 		shown   uint64    // version in force in this life
 		waiting map[uint64]uint64
+		// Of evacuations: the revision shown in this life, and what is told when an
+		// order is committed, by its index.
+		revision uint64
+		orders   map[uint64]func()
 	}
 
 	sent struct {
@@ -77,6 +81,9 @@
 		contents map[uint64]string
 		founders []string
 		rosterAt time.Time
+
+		evacuators []*evacuator
+		evacuated  map[uint64]string // failure domains by revision
 	}
 )
 
@@ -84,6 +91,7 @@
 	f := &fleet{
 		seed: seed, rng: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(5000, 0), losses: losses,
 		cut: map[[2]string]bool{}, contents: map[uint64]string{},
+		evacuators: []*evacuator{{domain: "a"}, {domain: "b"}}, evacuated: map[uint64]string{},
 	}
 	for i := range n {
 		f.machines = append(f.machines, f.machine(i))
@@ -114,6 +122,7 @@
 		founders = f.founders
 	}
 	m.store, m.shown, m.waiting, m.frozen = store, 0, map[uint64]uint64{}, time.Time{}
+	m.revision, m.orders = 0, map[uint64]func(){}
 	m.d, err = New(Config{
 		Self: m.id, Address: m.address, Domain: m.domain, Founders: founders, Voters: 2*f.losses + 1, Committed: m.hint,
 		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 1)),
@@ -165,11 +174,15 @@
 		f.post(sent{from: m.address, to: AddressOf(message.To), log: message})
 	}
 	f.checkShown(m)
+	f.checkEvacuations(m)
 	if f.rng.IntN(20) == 0 {
 		m.hint = m.d.Status(f.now).Commit
 	}
 	for _, index := range ready.Done {
 		f.acked = max(f.acked, m.waiting[index])
+		if told := m.orders[index]; told != nil {
+			told()
+		}
 	}
 }
 
@@ -317,6 +330,7 @@
 			version = doc.Version()
 		}
 		Expect(version).To(BeNumerically(">=", f.acked), "seed %d: %s shows an old version", f.seed, m.id)
+		f.checkSettled(m)
 	}
 }
 
--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -64,11 +64,11 @@
 	newcomer := d.newcomer(now, live)
 	switch {
 	case len(dead) > 0 && (d.replaced[dead[0]] || newcomer != "" || len(voters) > d.config.Voters):
-		d.propose(now, without(voters, dead[0]))
+		d.proposeVoters(now, without(voters, dead[0]))
 	case len(voters) > d.config.Voters:
-		d.propose(now, without(voters, d.crowded(live)))
+		d.proposeVoters(now, without(voters, d.crowded(live)))
 	case len(voters) < d.config.Voters && newcomer != "":
-		d.propose(now, append(slices.Clone(voters), newcomer))
+		d.proposeVoters(now, append(slices.Clone(voters), newcomer))
 	}
 }
 
@@ -81,8 +81,8 @@
 	return 1
 }
 
-// propose proposes other voters to the replicated log.
-func (d *Directory) propose(now time.Time, voters []string) {
+// proposeVoters proposes other voters to the replicated log.
+func (d *Directory) proposeVoters(now time.Time, voters []string) {
 	// A refusal means that the last change is still under way; the next tick
 	// asks again.
 	_, _ = d.replica.ProposeVoters(now, voters)
--- /dev/null
+++ b/internal/evacuation/evacuation_test.go
@@ -0,0 +1,75 @@
+package evacuation
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oxbowsaddle/internal/proptest"
+)
+
+func TestMain(m *testing.M) { os.Exit(proptest.Main(m)) }
+
+func TestEvacuation(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "evacuation")
+}
+
+func ExampleSet_With() {
+	var none *Set
+	both := none.With(3, Order{Domain: "b"}).With(5, Order{Domain: "a"})
+	fmt.Println(both.Revision(), both.Domains(), both.With(8, Order{Domain: "b", Undo: true}).Domains())
+	// Output: 5 [a b] [a]
+}
+
+// orders draws orders about few failure domains.
+func orders(t *rapid.T) []Order {
+	one := rapid.Custom(func(t *rapid.T) Order {
+		return Order{Domain: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain"), Undo: rapid.Bool().Draw(t, "undo")}
+	})
+	return rapid.SliceOfN(one, 0, 12).Draw(t, "orders")
+}
+
+var _ = Describe("the set of evacuated failure domains", func() {
+	It("holds the last order about each, whatever was ordered before and again", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			all := orders(t)
+			var s *Set
+			last := map[string]Order{}
+			for i, o := range all {
+				s = s.With(uint64(i+1), o)
+				last[o.Domain] = o
+				if !s.Holds(o) {
+					t.Fatalf("%v is not held", o)
+				}
+			}
+			for domain, o := range last {
+				if s.Has(domain) == o.Undo {
+					t.Fatalf("%s: the last order was %v", domain, o)
+				}
+			}
+			for i, o := range all {
+				if again := s.With(uint64(i+1), o); again != s {
+					t.Fatalf("order %d of %d is taken twice", i+1, len(all))
+				}
+			}
+		})
+	})
+
+	It("travels whole", func() {
+		s := (*Set)(nil).With(7, Order{Domain: "b"}).With(9, Order{Domain: "a"})
+		Expect(FromMessage(s.Message())).To(Equal(s))
+		Expect(FromMessage(nil).Revision()).To(BeZero())
+		Expect(FromMessage(nil).Has("a")).To(BeFalse())
+	})
+
+	It("is not taken from a message that names a failure domain twice or out of order", func() {
+		m := (*Set)(nil).With(7, Order{Domain: "b"}).Message()
+		m.Domains = []string{"b", "a", "b"}
+		Expect(FromMessage(m).Domains()).To(Equal([]string{"a", "b"}))
+	})
+})
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/evacuation"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/wire"
 )
@@ -40,6 +42,7 @@
 		Name: s.Self, Domain: a.control.config.Domain, Role: s.Role, Term: s.Term, LeaderName: s.Leader,
 		Commit: s.Version, Applied: s.Version, Active: s.Version, Revision: s.Version,
 		Members: a.control.entries.members(), ByLeader: s.Leader != "",
+		Evacuated: s.Evacuations.Domains(), Evacuations: s.Evacuations.Revision(),
 	}
 	for _, m := range reply.Members {
 		reply.Active = min(reply.Active, m.Applied)
@@ -57,6 +60,19 @@
 	return &wire.VotersReply{Kind: accepted, Voters: a.control.Status().Voters}, nil
 }
 
+// Evacuate takes an order about a failure domain, or names the instance that does.
+func (a *controlAnswers) Evacuate(ctx context.Context, r *wire.EvacuateRequest) (*wire.EvacuateReply, error) {
+	_, err := a.control.Evacuate(ctx, evacuation.Order{Domain: r.Domain, Undo: r.Undo})
+	if err == nil {
+		return &wire.EvacuateReply{Kind: accepted}, nil
+	}
+	reply := &wire.EvacuateReply{Kind: fault.KindOf(err).Name(), Detail: err.Error()}
+	if s := a.control.Status(); s.Leader != "" && s.Leader != s.Self {
+		reply.Elsewhere = directory.AddressOf(s.Leader)
+	}
+	return reply, nil
+}
+
 // Why says whom to ask: what operators ask about is decided at entries.
 func (a *controlAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
 	return &wire.WhyReply{Lines: []string{"a control instance carries no packets: ask an entry about a " + r.Matter}}, nil
@@ -76,7 +92,8 @@
 	version := e.steerer.Version()
 	reply := &wire.StatusReply{
 		Name: e.config.Name, Domain: e.config.Domain, Role: "entry", Applied: version, Active: version,
-		Drains: e.steerer.Drains(now),
+		Drains:    e.steerer.Drains(now),
+		Evacuated: e.steerer.Evacuations().Domains(), Evacuations: e.steerer.Evacuations().Revision(),
 	}
 	if e.held != nil {
 		reply.Revision, reply.Commit = e.held.Version(), e.held.Version()
@@ -84,6 +101,13 @@
 	return reply, nil
 }
 
+// Evacuate names a control instance, which takes such orders.
+func (a *entryAnswers) Evacuate(context.Context, *wire.EvacuateRequest) (*wire.EvacuateReply, error) {
+	return &wire.EvacuateReply{
+		Kind: fault.NotCurrent.Name(), Detail: "an entry takes no orders itself", Elsewhere: a.entry.orderTaker(),
+	}, nil
+}
+
 // Why tells the kept decisions on a flow and where it is now, or the last packets
 // that were refused.
 func (a *entryAnswers) Why(_ context.Context, r *wire.WhyRequest) (*wire.WhyReply, error) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -24,10 +24,12 @@
 	// ControlConfig is what a control instance is told.
 	ControlConfig struct {
 		Domain string
-		Peer   netip.AddrPort   // listens for links
-		Front  string           // where operators and endpoints call
-		Seeds  []netip.AddrPort // peer addresses of other control instances
-		First  bool             // the whole system starts for the first time
+		// Domains are all failure domains that there are; nil where that is not known.
+		Domains []string
+		Peer    netip.AddrPort   // listens for links
+		Front   string           // where operators and endpoints call
+		Seeds   []netip.AddrPort // peer addresses of other control instances
+		First   bool             // the whole system starts for the first time
 		// Files opens the data folder.
 		Files  func() (storage.Files, error)
 		Voters int           // wanted voters
@@ -58,6 +60,8 @@
 		waiting   map[uint64]chan bool // by proposal; true once committed
 		failed    bool                 // the disk failed and has not been opened since
 		reopenAt  time.Time
+		turnedAt  time.Time // of the loop's last turn
+		resumedAt time.Time // when the loop went on after a standstill
 	}
 )
 
@@ -104,7 +108,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case call := <-c.calls:
-			call(c.config.Now())
+			now := c.config.Now()
+			c.noteStandstill(now)
+			call(now)
 		case <-ticker.C:
 			c.tick(ctx)
 		}
@@ -119,6 +125,7 @@
 // directory and the links to others go on.
 func (c *Control) tick(ctx context.Context) {
 	now := c.config.Now()
+	c.noteStandstill(now)
 	if c.directory == nil {
 		if !now.Before(c.reopenAt) {
 			c.open(now)
@@ -186,13 +193,16 @@
 		c.config.Log.Info("voters", "voters", status.Voters, "before", last.Voters)
 	}
 	held := c.published.Load()
-	next := held.with(c.directory.Document(), held.confirmed || status.Confirmed)
+	next := held.with(c.directory.Document(), status.Evacuations, held.confirmed || status.Confirmed)
 	if next == held {
 		return
 	}
 	c.published.Store(next)
 	c.documents.notify()
-	if doc := next.document(); doc != nil {
+	if next.evacuations.Revision() > held.evacuations.Revision() {
+		c.config.Log.Info("evacuations in force", "revision", next.evacuations.Revision(), "domains", next.evacuations.Domains())
+	}
+	if doc := next.document(); doc != nil && (doc != held.document() || next.confirmed != held.confirmed) {
 		c.config.Log.Info("document in force", "version", doc.Version(), "routes", len(doc.Routes()), "confirmed", next.confirmed)
 	}
 }
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -58,7 +58,7 @@
 	}
 	now := e.config.Now()
 	e.mu.Lock()
-	c := e.steerer.Counts(now)
+	c, evacuations := e.steerer.Counts(now), e.steerer.Evacuations()
 	e.mu.Unlock()
 	return append(all,
 		figure{"oxbowsaddle_flows", uint64(c.Flows)},
@@ -69,6 +69,8 @@
 		figure{"oxbowsaddle_announcements_total", e.announced.heard.Load()},
 		figure{"oxbowsaddle_announcements_malformed_total", e.announced.malformed.Load()},
 		figure{"oxbowsaddle_document_version", c.Version},
+		figure{"oxbowsaddle_domains_evacuated", uint64(len(evacuations.Domains()))},
+		figure{"oxbowsaddle_evacuations_revision", evacuations.Revision()},
 	)
 }
 
@@ -94,5 +96,7 @@
 		{"oxbowsaddle_entries", uint64(c.entries.count())},
 		{"oxbowsaddle_entries_remembered", uint64(c.audience.count())},
 		{"oxbowsaddle_document_version", s.Version},
+		{"oxbowsaddle_domains_evacuated", uint64(len(s.Evacuations.Domains()))},
+		{"oxbowsaddle_evacuations_revision", s.Evacuations.Revision()},
 	}
 }
--- a/internal/node/doubts_test.go
+++ b/internal/node/doubts_test.go
@@ -46,7 +46,7 @@
 	ginkgo.It("hold nobody up whose queue is full", func() {
 		l := newEntryList(SteadyClock())
 		slow := newEntryFeed(nil, nil, &wire.Hello{Id: "slow"})
-		l.heard(slow, 1)
+		l.heard(slow, &wire.Receipt{Version: 1})
 		for range 2 * doubtsWaiting {
 			l.spread(nil, "i-1")
 		}
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -77,7 +77,7 @@
 		entry.locate(l.address, body.Roster)
 		entry.askDocument() // where the one that was asked has not answered
 		// Shows the control instance that somebody still listens.
-		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{Version: entry.version()}}})
+		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: entry.inForce()}})
 	}
 	return nil
 }
--- a/internal/node/entrylist.go
+++ b/internal/node/entrylist.go
@@ -21,9 +21,10 @@
 
 	// linkedEntry is what an entry said of itself last.
 	linkedEntry struct {
-		feed    *entryFeed
-		version uint64
-		heard   time.Time
+		feed        *entryFeed
+		version     uint64
+		evacuations uint64 // their revision
+		heard       time.Time
 	}
 )
 
@@ -31,11 +32,11 @@
 	return &entryList{now: now, entries: map[string]linkedEntry{}}
 }
 
-// heard notes which version an entry has in force.
-func (l *entryList) heard(f *entryFeed, version uint64) {
+// heard notes which version, and which evacuations, an entry has in force.
+func (l *entryList) heard(f *entryFeed, inForce *wire.Receipt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries[f.name] = linkedEntry{f, version, l.now()}
+	l.entries[f.name] = linkedEntry{f, inForce.Version, inForce.Evacuations, l.now()}
 }
 
 // lost drops an entry, unless it has another link by now.
@@ -62,6 +63,7 @@
 	for name, e := range l.entries {
 		all = append(all, &wire.MemberStatus{
 			Name: name, Domain: e.feed.domain, Applied: e.version, SilentNanos: int64(l.now().Sub(e.heard)), Leased: true,
+			Evacuations: e.evacuations,
 		})
 	}
 	slices.SortFunc(all, func(a, b *wire.MemberStatus) int { return strings.Compare(a.Name, b.Name) })
--- /dev/null
+++ b/internal/node/evacuate_test.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/directory"
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/evacuation"
+	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/wire"
+)
+
+// evacuate sends an order to one instance after the other until one acknowledges it.
+func (f controlFleet) evacuate(o evacuation.Order) {
+	for {
+		for _, r := range f {
+			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+			_, err := r.Evacuate(ctx, o)
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+	}
+}
+
+var _ = ginkgo.Describe("an evacuation", func() {
+	ginkgo.Context("ordered at a fleet", func() {
+		var fleet controlFleet
+		var entry *Entry
+		evacuated := func() []string { return entry.steerer.Evacuations().Domains() }
+		inForce := func() []string {
+			entry.mu.Lock()
+			defer entry.mu.Unlock()
+			return evacuated()
+		}
+		ginkgo.BeforeEach(func() {
+			fleet = startFleet(41, 3, 3, ginkgo.GinkgoT().TempDir, log.New(io.Discard))
+			ginkgo.DeferCleanup(func() { fleet.stop() })
+			fleet.order(1)
+			entry = runningEntry(fleet, "e1", DialTCP)
+		})
+
+		ginkgo.It("comes in force at entries, at those that come later too, and ends", func() {
+			fleet.evacuate(evacuation.Order{Domain: "d1"})
+			Eventually(inForce, patience).Should(Equal([]string{"d1"}))
+			late := runningEntry(fleet, "e2", DialTCP)
+			Eventually(late.Ready, patience).Should(BeTrue())
+			Expect(late.steerer.Evacuations().Domains()).To(Equal([]string{"d1"}), "it serves before it knows")
+			fleet.evacuate(evacuation.Order{Domain: "d1", Undo: true})
+			Eventually(inForce, patience).Should(BeEmpty())
+		})
+
+		ginkgo.It("outlives a restart of every control instance, and the loss of a disk", func() {
+			fleet.evacuate(evacuation.Order{Domain: "d2"})
+			folder := ginkgo.GinkgoT().TempDir()
+			for _, r := range fleet {
+				r.stop()
+			}
+			fleet[0].lose(folder)
+			for _, r := range fleet {
+				r.start()
+			}
+			fleet.order(2)
+			leader := fleet.leader()
+			Eventually(func() []string { return leader.Status().Evacuations.Domains() }, patience).Should(Equal([]string{"d2"}))
+			late := runningEntry(fleet, "e3", DialTCP)
+			Eventually(late.Ready, patience).Should(BeTrue())
+			Expect(late.inForce().Evacuations).NotTo(BeZero())
+		})
+
+		ginkgo.It("is refused for a failure domain that is not known", func() {
+			for _, r := range fleet {
+				r.Control.config.Domains = []string{"d0", "d1", "d2"}
+			}
+			_, err := fleet[0].Evacuate(context.Background(), evacuation.Order{Domain: "d9"})
+			Expect(fault.KindOf(err)).To(Equal(fault.NotFound))
+			fleet.evacuate(evacuation.Order{Domain: "d0"})
+		})
+
+		ginkgo.It("is not offered once its caller has gone, though the loop comes to it later", func() {
+			Eventually(fleet.leader, patience).ShouldNot(BeNil())
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			offered := make(chan bool, 20)
+			for range 20 { // the loop takes the call, or the caller is turned away before
+				_, err := fleet.leader().offerHere(ctx, func(time.Time, *directory.Directory) (uint64, bool, error) {
+					offered <- true
+					return 0, true, nil
+				})
+				Expect(fault.KindOf(err)).To(Equal(fault.NoQuorum))
+			}
+			Expect(fleet.leader().call(context.Background(), func(time.Time, *directory.Directory) {})).To(Succeed(), "after all that were taken")
+			Expect(offered).To(BeEmpty())
+		})
+
+		ginkgo.It("names the leader to the commands of operators elsewhere", func() {
+			Eventually(fleet.leader, patience).ShouldNot(BeNil())
+			answers := &controlAnswers{control: fleet.follower().Control}
+			r, err := answers.Evacuate(context.Background(), &wire.EvacuateRequest{Domain: "d0"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Kind).To(Equal(fault.NotCurrent.Name()))
+			Expect(r.Elsewhere).To(Equal(fleet.leader().config.Peer.String()))
+			Eventually(entry.orderTaker, patience).ShouldNot(BeEmpty())
+		})
+	})
+
+	ginkgo.Context("that may be out of turn", func() {
+		var now time.Time
+		var control *Control
+		ginkgo.BeforeEach(func() {
+			now = time.Unix(5000, 0)
+			control = NewControl(ControlConfig{Log: log.New(io.Discard), Now: func() time.Time { return now }, Beat: time.Second})
+		})
+
+		ginkgo.It("is turned away for a while after the instance stood still", func() {
+			control.noteStandstill(now)
+			now = now.Add(standstill)
+			control.noteStandstill(now)
+			Expect(control.resumedAt).To(BeZero(), "a slow turn is none")
+			now = now.Add(standstill + time.Millisecond)
+			control.noteStandstill(now)
+			Expect(control.resumedAt).To(Equal(now))
+		})
+	})
+
+	ginkgo.Context("on the link to an entry", func() {
+		var entry *Entry
+		ginkgo.BeforeEach(func() {
+			entry = NewEntry(EntryConfig{Name: "e1", Log: log.New(io.Discard), Now: SteadyClock()})
+		})
+		frame := func(version, revision uint64, domains ...string) *wire.DocumentFrame {
+			doc, faults := document.New(document.Config{Version: version})
+			Expect(faults).To(BeEmpty())
+			f := doc.Frame(nil, true)
+			f.Evacuations = &wire.Evacuations{Revision: revision, Domains: domains}
+			return f
+		}
+
+		ginkgo.It("is in force before a document of the same frame is", func() {
+			entry.takeDocument("c1", frame(7, 4, "d0"))
+			Expect(entry.inForce()).To(HaveField("Evacuations", uint64(4)))
+			Expect(entry.steerer.Evacuations().Has("d0")).To(BeTrue())
+		})
+
+		ginkgo.It("is not undone by a later document of an instance that lags", func() {
+			entry.takeOffer("c1", &wire.DocumentOffer{Version: 7, Evacuations: &wire.Evacuations{Revision: 9, Domains: []string{"d0"}}})
+			entry.takeDocument("c2", frame(8, 3))
+			Expect(entry.inForce()).To(HaveField("Version", uint64(8)))
+			Expect(entry.steerer.Evacuations().Has("d0")).To(BeTrue())
+		})
+
+		ginkgo.It("is told with the offer and with each document", func() {
+			doc, _ := document.New(document.Config{Version: 7})
+			set := (*evacuation.Set)(nil).With(4, evacuation.Order{Domain: "d0"})
+			p := (&published{}).with(doc, nil, true)
+			next := p.with(doc, set, true)
+			Expect(next).NotTo(BeIdenticalTo(p))
+			Expect(next.with(doc, nil, true)).To(BeIdenticalTo(next), "an older one changes nothing")
+			Expect(next.offer().GetOffer().Evacuations.Domains).To(Equal([]string{"d0"}))
+			told, err := unpack(next.frame(0))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(told.GetDocument().Evacuations.Revision).To(Equal(uint64(4)))
+		})
+	})
+})
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -77,7 +77,7 @@
 		case *wire.Frame_Doubt:
 			f.control.entries.spread(f, body.Doubt.Id)
 		case *wire.Frame_Receipt:
-			f.control.entries.heard(f, body.Receipt.Version)
+			f.control.entries.heard(f, body.Receipt)
 		}
 	}
 }
@@ -140,15 +140,14 @@
 	}
 }
 
-// sendOffer offers a document that came in force.
+// sendOffer offers a document that came in force, and tells of evacuations.
 func (f *entryFeed) sendOffer() error {
 	p := f.control.published.Load()
 	if p == f.offered || p.document() == nil {
 		return nil
 	}
 	f.offered = p
-	offer := &wire.DocumentOffer{Version: p.document().Version(), Confirmed: p.confirmed}
-	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Offer{Offer: offer}})
+	return f.stream.Send(p.offer())
 }
 
 // sendReports tells the entry of endpoints.
--- a/internal/node/firstlist_test.go
+++ b/internal/node/firstlist_test.go
@@ -88,7 +88,7 @@
 		Expect(stream.sent).To(HaveLen(1), "the document may come before the rest")
 		Expect(f.restDue).NotTo(BeNil())
 		doc, _ := document.New(document.Config{Version: 1})
-		control.published.Store(control.published.Load().with(doc, true))
+		control.published.Store(control.published.Load().with(doc, nil, true))
 		Expect(f.answerWant(0)).To(Succeed())
 		Expect(f.restDue).To(BeNil())
 		Expect(f.sendRest()).To(Succeed(), "which is no more")
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -2,6 +2,7 @@
 
 import (
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/evacuation"
 	"oxbowsaddle/internal/registry"
 	"oxbowsaddle/internal/wire"
 )
@@ -10,6 +11,7 @@
 // it where it is newer than the one held.
 func (e *Entry) takeOffer(source string, offer *wire.DocumentOffer) {
 	now := e.config.Now()
+	e.takeEvacuations(source, offer.Evacuations)
 	e.mu.Lock()
 	e.fetch.offer(now, source, offer.Version)
 	held := e.held
@@ -41,6 +43,7 @@
 
 // takeDocument takes a committed document from a control instance.
 func (e *Entry) takeDocument(source string, frame *wire.DocumentFrame) {
+	e.takeEvacuations(source, frame.Evacuations) // before the document, which may be of a later place in the log
 	e.mu.Lock()
 	e.fetch.arrived(source)
 	doc, err := document.FromFrame(e.held, frame)
@@ -62,6 +65,18 @@
 	e.askDocument()
 }
 
+// takeEvacuations has new flows avoid the failure domains that are evacuated,
+// unless what is known already is as new.
+func (e *Entry) takeEvacuations(source string, m *wire.Evacuations) {
+	set := evacuation.FromMessage(m)
+	e.mu.Lock()
+	fresh := e.steerer.SetEvacuations(set)
+	e.mu.Unlock()
+	if fresh {
+		e.config.Log.Info("evacuations in force", "control", source, "revision", set.Revision(), "domains", set.Domains())
+	}
+}
+
 // confirm notes that a document is known to be the newest of its term.
 func (e *Entry) confirm(version uint64) {
 	if !e.confirmed.Swap(true) {
@@ -98,11 +113,11 @@
 	return lacking
 }
 
-// version returns the version in force, 0 before the first.
-func (e *Entry) version() uint64 {
+// inForce tells which document and evacuations are in force.
+func (e *Entry) inForce() *wire.Receipt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.steerer.Version()
+	return &wire.Receipt{Version: e.steerer.Version(), Evacuations: e.steerer.Evacuations().Revision()}
 }
 
 // digest sums up what is known of endpoints.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -65,3 +65,10 @@
 	e.choosePrimary()
 	e.askDocument()
 }
+
+// orderTaker returns a control instance that is linked, "" for none.
+func (e *Entry) orderTaker() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.primary.chosen
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -51,12 +51,23 @@
 
 // putHere proposes the document where this instance leads, and waits.
 func (c *Control) putHere(ctx context.Context, doc *document.Document) (elsewhere string, err error) {
+	return c.offerHere(ctx, func(now time.Time, d *directory.Directory) (uint64, bool, error) { return d.Put(now, doc) })
+}
+
+// offerHere offers something to the log where this instance leads, and waits
+// until it is committed. What the loop comes to only after the caller was turned
+// away is not offered: it may be out of turn by then.
+func (c *Control) offerHere(ctx context.Context, offer func(now time.Time, d *directory.Directory) (index uint64, done bool, err error)) (elsewhere string, err error) {
 	committed := make(chan bool, 1)
 	callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
-		index, done, putErr := d.Put(now, doc)
+		if ctx.Err() != nil {
+			err = fault.New(fault.NoQuorum, "the caller has gone")
+			return
+		}
+		index, done, offerErr := offer(now, d)
 		switch {
-		case putErr != nil:
-			elsewhere, err = c.leaderFront(d), putErr
+		case offerErr != nil:
+			elsewhere, err = c.leaderFront(d), offerErr
 		case done:
 			committed <- true
 		default:
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	feed := newEntryFeed(h.control, stream, hello)
-	h.control.entries.heard(feed, 0)
+	h.control.entries.heard(feed, &wire.Receipt{})
 	defer h.control.entries.lost(feed)
 	defer h.control.audience.link(hello.Announce)()
 	go feed.receiveLoop(ctx, cancel)
--- a/internal/node/silence_test.go
+++ b/internal/node/silence_test.go
@@ -112,7 +112,7 @@
 		fleet.order(version)
 	}
 	inForce := func() {
-		Eventually(entry.version, patience, 5*time.Millisecond).Should(Equal(version))
+		Eventually(func() uint64 { return entry.inForce().Version }, patience, 5*time.Millisecond).Should(Equal(version))
 	}
 
 	ginkgo.BeforeEach(func() {
--- a/internal/node/timings.go
+++ b/internal/node/timings.go
@@ -20,9 +20,10 @@
 
 	// controlTimings is what a control instance measures of itself.
 	controlTimings struct {
-		order   *telemetry.Timing // from an order to its acknowledgement here
-		leaving *telemetry.Timing // from a leave to its acknowledgement here
-		sync    *telemetry.Timing // of a batch of the log
+		order      *telemetry.Timing // from an order to its acknowledgement here
+		evacuation *telemetry.Timing // the same for an order about an evacuation
+		leaving    *telemetry.Timing // from a leave to its acknowledgement here
+		sync       *telemetry.Timing // of a batch of the log
 	}
 )
 
@@ -35,9 +36,10 @@
 
 func newControlTimings() controlTimings {
 	return controlTimings{
-		order:   telemetry.NewTiming("oxbowsaddle_order_seconds"),
-		leaving: telemetry.NewTiming("oxbowsaddle_leave_seconds"),
-		sync:    telemetry.NewTiming("oxbowsaddle_sync_seconds"),
+		order:      telemetry.NewTiming("oxbowsaddle_order_seconds"),
+		evacuation: telemetry.NewTiming("oxbowsaddle_evacuation_seconds"),
+		leaving:    telemetry.NewTiming("oxbowsaddle_leave_seconds"),
+		sync:       telemetry.NewTiming("oxbowsaddle_sync_seconds"),
 	}
 }
 
@@ -48,6 +50,7 @@
 
 func (t controlTimings) writeText(w io.Writer) {
 	t.order.WriteText(w)
+	t.evacuation.WriteText(w)
 	t.leaving.WriteText(w)
 	t.sync.WriteText(w)
 }
--- a/internal/steer/decision.go
+++ b/internal/steer/decision.go
@@ -23,6 +23,7 @@
 	UnknownTag                 // no endpoint is known by the tag
 	EndpointGone               // the flow's endpoint has ended
 	EndpointLost               // the flow's endpoint cannot be reached from here
+	Evacuated                  // the failure domains of all endpoints that could take the flow are evacuated
 	Malformed                  // the packet cannot be read, or no caller sends such
 
 	// ReasonCount is how many there are.
@@ -54,7 +55,7 @@
 	actionNames = [...]string{"drop", "forward", "reset"}
 	reasonNames = [ReasonCount]string{
 		"placed", "repeated", "replaced", "steered", "corrected", "no_table", "no_route", "route_dropped",
-		"no_endpoint", "unknown_tag", "endpoint_gone", "endpoint_lost", "malformed",
+		"no_endpoint", "unknown_tag", "endpoint_gone", "endpoint_lost", "evacuated", "malformed",
 	}
 )
 
--- /dev/null
+++ b/internal/steer/evacuation.go
@@ -0,0 +1,42 @@
+package steer
+
+import (
+	"oxbowsaddle/internal/evacuation"
+)
+
+// SetEvacuations has no new flow go to the failure domains of a set; a set that is
+// not newer than the one in force changes nothing, so that an entry never goes back
+// behind what it was told, whoever tells it. Open flows stay: their packets go by
+// the tag. It reports whether the set is in force now for the first time.
+func (s *Steerer) SetEvacuations(set *evacuation.Set) bool {
+	if set.Revision() <= s.evacuations.Revision() {
+		return false
+	}
+	s.evacuations = set
+	for _, b := range s.byID {
+		s.list(b)
+	}
+	return true
+}
+
+// Evacuations returns the set in force, that of revision 0 before the first.
+func (s *Steerer) Evacuations() *evacuation.Set { return s.evacuations }
+
+// evacuated reports whether no new flow goes to an endpoint since its failure
+// domain is evacuated.
+func (s *Steerer) evacuated(b *backend) bool { return s.sideOf(b) == evacuatedSide }
+
+// takesNew reports whether new flows may go to an endpoint at all.
+func (s *Steerer) takesNew(b *backend) bool { return b.open() && !s.evacuated(b) }
+
+// noEndpoint returns why no endpoint may take a new flow of a route. Where only
+// evacuated ones could, the flow is reset at once all the same: the operator's order
+// goes before serving, and the caller learns that nothing has run.
+func (s *Steerer) noEndpoint(r *route) Reason {
+	for _, share := range r.Shares {
+		if p := s.pools[share.Service]; p != nil && len(p[evacuatedSide]) > 0 {
+			return Evacuated
+		}
+	}
+	return NoEndpoint
+}
--- /dev/null
+++ b/internal/steer/evacuation_test.go
@@ -0,0 +1,157 @@
+package steer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"oxbowsaddle/internal/evacuation"
+	"oxbowsaddle/internal/wire"
+)
+
+// setOf is the set at a revision that evacuates some failure domains.
+func setOf(revision uint64, domains ...string) *evacuation.Set {
+	return evacuation.FromMessage(&wire.Evacuations{Revision: revision, Domains: domains})
+}
+
+// threeDomains is a service with some endpoints in each of three failure domains.
+func threeDomains(each int) []*wire.EndpointReport {
+	var all []*wire.EndpointReport
+	for n := range 3 * each {
+		all = append(all, fleetReport(n, []string{"plateau", "almadies", "diamniadio"}[n%3]))
+	}
+	return all
+}
+
+var _ = Describe("an evacuated failure domain", func() {
+	var s *Steerer
+	// domainOf returns the failure domain that a decision leads to.
+	domainOf := func(d Decision) string { return s.byID[d.ID].Domain }
+	// placedIn counts the new flows of many callers by failure domain.
+	placedIn := func(flows int) map[string]int {
+		given := map[string]int{}
+		for n := range flows {
+			p := fleetOpening(n)
+			if d := s.Decide(start, p); d.Action == Forward {
+				given[domainOf(d)]++
+			}
+			s.end(s.flows[flowKey{p.Src, p.Dst}])
+		}
+		return given
+	}
+	BeforeEach(func() { s = fleetSteerer(threeDomains(40)) })
+
+	It("gets no new flow, and the others share what it got", func() {
+		Expect(placedIn(3000)).To(HaveLen(1))
+		Expect(s.SetEvacuations(setOf(4, "plateau"))).To(BeTrue())
+		given := placedIn(3000)
+		Expect(given).NotTo(HaveKey("plateau"))
+		Expect(given["almadies"]).To(BeNumerically("~", 1500, 150))
+		Expect(given["diamniadio"]).To(BeNumerically("~", 1500, 150))
+	})
+
+	It("keeps the flows that are open, and gets new ones once it is taken back", func() {
+		opening := fleetOpening(1)
+		d := s.Decide(start, opening)
+		s.SetEvacuations(setOf(4, "plateau"))
+		later := s.Decide(start.Add(time.Second), Packet{Src: opening.Src, Dst: opening.Dst, Flags: Ack, Seq: 8, Ack: 2, Tag: d.Tag, Len: 10})
+		Expect(later.Action).To(Equal(Forward))
+		Expect(later.ID).To(Equal(d.ID))
+		s.SetEvacuations(setOf(6))
+		Expect(placedIn(100)).To(Equal(map[string]int{"plateau": 100}))
+	})
+
+	It("is not opened again by an older order, whoever tells it", func() {
+		s.SetEvacuations(setOf(4, "plateau"))
+		Expect(s.SetEvacuations(setOf(3))).To(BeFalse())
+		Expect(s.SetEvacuations(nil)).To(BeFalse())
+		Expect(placedIn(100)).NotTo(HaveKey("plateau"))
+	})
+
+	It("takes in endpoints that come later, and lets those go that were known before", func() {
+		s.SetEvacuations(setOf(4, "plateau", "almadies"))
+		s.Learn(start, "c1", reports(fleetReport(900, "plateau")))
+		Expect(placedIn(300)).To(Equal(map[string]int{"diamniadio": 300}))
+	})
+
+	It("gets no copy of an opening packet either", func() {
+		opening := fleetOpening(1)
+		s.Decide(start, opening)
+		s.SetEvacuations(setOf(4, "plateau"))
+		opening.Copy = 1
+		Expect(domainOf(s.Decide(start.Add(200*time.Millisecond), opening))).NotTo(Equal("plateau"))
+	})
+
+	It("gets none where no other endpoint takes it, and the flow, which may be open, is not reset", func() {
+		opening := fleetOpening(1)
+		s.Decide(start, opening)
+		s.SetEvacuations(setOf(4, "plateau", "almadies", "diamniadio"))
+		opening.Copy = 1
+		d := s.Decide(start.Add(200*time.Millisecond), opening)
+		Expect(d.Action).To(Equal(Drop))
+		Expect(d.Reason).To(Equal(Evacuated))
+	})
+
+	It("has new flows reset at once where every one is evacuated, and says why", func() {
+		s.SetEvacuations(setOf(4, "plateau", "almadies", "diamniadio"))
+		opening := fleetOpening(1)
+		d := s.Decide(start, opening)
+		Expect(d.Action).To(Equal(Reset))
+		Expect(d.Reason).To(Equal(Evacuated))
+		told := s.Explain(start, opening.Src, opening.Dst)
+		Expect(told.Reason).To(Equal("evacuated"))
+		Expect(told.NextStep).To(ContainSubstring("--undo"))
+		Expect(told.Candidates[0].Verdict).To(ContainSubstring("is evacuated by revision 4"))
+	})
+
+	It("is not asked whether its lost endpoints are back", func() {
+		asked := 0
+		s.config.Ask = func(Question) bool { asked++; return true }
+		b := s.byID["booking-0"]
+		b.reach.lost, s.lost[b] = true, true
+		s.SetEvacuations(setOf(4, "plateau"))
+		s.askLost(start)
+		Expect(asked).To(BeZero())
+		s.SetEvacuations(setOf(5))
+		s.askLost(start)
+		Expect(asked).To(Equal(1))
+	})
+
+	It("gets no new flow under any order of reports, sets, silence and suspicion", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			domains := []string{"plateau", "almadies", "diamniadio"}
+			s := fleetSteerer(nil)
+			s.config.Suspected = func(string, bool) {}
+			for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+				n := rapid.IntRange(0, 30).Draw(t, "endpoint")
+				switch rapid.IntRange(0, 4).Draw(t, "what") {
+				case 0:
+					m := fleetReport(n, domains[n%3])
+					m.Sequence, m.Silent = uint64(step+1), rapid.Bool().Draw(t, "silent")
+					m.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
+					s.Learn(start, "c1", reports(m))
+				case 1:
+					set := rapid.SliceOfDistinct(rapid.SampledFrom(domains), rapid.ID[string]).Draw(t, "set")
+					s.SetEvacuations(setOf(rapid.Uint64Range(0, 60).Draw(t, "revision"), set...))
+				case 2:
+					if b := s.byID[fleetReport(n, "").Id]; b != nil {
+						b.suspectUntil = start.Add(time.Minute)
+					}
+				default:
+					p := Packet{
+						Src: netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, 0, 1}), uint16(1+n)), Dst: bookingAddr, Flags: Syn, Seq: 7,
+						Copy: rapid.IntRange(0, 2).Draw(t, "copy"),
+					}
+					d := s.Decide(start, p)
+					if d.Action == Forward && slices.Contains(s.Evacuations().Domains(), s.byID[d.ID].Domain) {
+						t.Fatalf("an opening packet goes to %s in %s", d.ID, s.byID[d.ID].Domain)
+					}
+				}
+			}
+		})
+	})
+})
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -24,6 +24,7 @@
 	RouteDropped: "bring the route back if the flow should live on",
 	NoEndpoint:   "start endpoints of the service, or keep some from leaving",
 	EndpointGone: "nothing: its caller opens another flow",
+	Evacuated:    "end an evacuation with `oxbowsaddle evacuate --undo`, or start endpoints in another failure domain",
 	EndpointLost: "look at the endpoint, and at the network to its failure domain",
 }
 
@@ -84,7 +85,7 @@
 		return NoTable
 	case b == nil:
 		d.Action = Reset.String()
-		return NoEndpoint
+		return s.noEndpoint(r)
 	}
 	d.Endpoint = b.ID
 	return Placed
@@ -120,11 +121,11 @@
 		if !r.leadsTo(b.Service) {
 			continue
 		}
-		verdict := b.verdict(now, s.config.Domain, r.Bulk)
+		verdict := s.verdict(now, b, r.Bulk)
 		switch {
 		case b.ID == d.Endpoint:
 			verdict = "chosen; " + verdict
-		case d.Recomputed && b.listing != nil && !looked[b]:
+		case d.Recomputed && b.listing != nil && !s.evacuated(b) && !looked[b]:
 			verdict = "not looked at, since others suffice; " + verdict
 		}
 		all = append(all, &wire.Candidate{Endpoint: b.ID, Verdict: verdict})
@@ -133,6 +134,15 @@
 	return all
 }
 
+// verdict tells what speaks for and against an endpoint here.
+func (s *Steerer) verdict(now time.Time, b *backend, bulk bool) string {
+	verdict := b.verdict(now, s.config.Domain, bulk)
+	if b.open() && s.evacuated(b) {
+		verdict += fmt.Sprintf(", takes no new flow: failure domain %s is evacuated by revision %d", b.Domain, s.evacuations.Revision())
+	}
+	return verdict
+}
+
 // verdict tells what speaks for and against an endpoint.
 func (b *backend) verdict(now time.Time, domain string, bulk bool) string {
 	switch {
--- a/internal/steer/learn_test.go
+++ b/internal/steer/learn_test.go
@@ -28,8 +28,8 @@
 		s.Learn(start, "c2", reports(report("booking", 9, nil)))
 		Expect(s.byID["booking-9"].open()).To(BeFalse())
 		Expect(s.Decide(start, later(1000, Tag("booking-9"), 8, 1, 10)).Reason).To(Equal(UnknownTag))
-		Expect(s.pools["booking"].near).To(HaveLen(2))
-		Expect(s.pools["booking"].far).To(BeEmpty())
+		Expect(s.pools["booking"][nearSide]).To(HaveLen(2))
+		Expect(s.pools["booking"][farSide]).To(BeEmpty())
 	})
 
 	It("takes an endpoint for silent only if every control instance that knows it does", func() {
@@ -95,7 +95,7 @@
 		s.Decide(start.Add(time.Minute+time.Second), opening(1000, 7, 0))
 		Expect(s.byID).NotTo(HaveKey("booking-1"))
 		Expect(s.byTag).NotTo(HaveKey(Tag("booking-1")))
-		Expect(s.pools["booking"].near).To(HaveLen(1))
-		Expect(s.pools["booking"].far).To(BeEmpty())
+		Expect(s.pools["booking"][nearSide]).To(HaveLen(1))
+		Expect(s.pools["booking"][farSide]).To(BeEmpty())
 	})
 })
--- a/internal/steer/pool.go
+++ b/internal/steer/pool.go
@@ -22,17 +22,26 @@
 	placing = 0x706c6163696e6700
 )
 
+// The sides of a pool.
+const (
+	nearSide      side = iota // of the entry's own failure domain
+	farSide                   // of other ones
+	evacuatedSide             // of evacuated ones: no new flow goes there
+
+	sideCount
+)
+
 type (
-	// pool holds the endpoints of a service that new flows may go to, those of the
-	// entry's own failure domain apart.
-	pool struct {
-		near, far []*backend
-	}
+	// side is one of the lists of a pool.
+	side int
+
+	// pool holds the endpoints of a service that would take new flows, by side.
+	pool [sideCount][]*backend
 
 	// listing is where a backend stands in a pool.
 	listing struct {
 		service string
-		near    bool
+		side    side
 		index   int
 	}
 
@@ -52,20 +61,23 @@
 	}
 )
 
-// side returns the list of a pool that an endpoint stands in.
-func (p *pool) side(near bool) *[]*backend {
-	if near {
-		return &p.near
+// sideOf returns the side that an endpoint stands on.
+func (s *Steerer) sideOf(b *backend) side {
+	switch {
+	case s.evacuations.Has(b.Domain):
+		return evacuatedSide
+	case b.Domain == s.config.Domain:
+		return nearSide
+	default:
+		return farSide
 	}
-	return &p.far
 }
 
-// list has an endpoint stand in the pool of its service as long as new flows may
-// go to it.
+// list has an endpoint stand in the pool of its service as long as it would take
+// new flows.
 func (s *Steerer) list(b *backend) {
-	wanted := b.open() && b.Addr.IsValid()
-	near := b.Domain == s.config.Domain
-	if at := b.listing; at != nil && (!wanted || at.service != b.Service || at.near != near) {
+	wanted, side := b.open() && b.Addr.IsValid(), s.sideOf(b)
+	if at := b.listing; at != nil && (!wanted || at.service != b.Service || at.side != side) {
 		s.unlist(b)
 	}
 	if !wanted || b.listing != nil {
@@ -76,20 +88,19 @@
 		p = &pool{}
 		s.pools[b.Service] = p
 	}
-	side := p.side(near)
-	b.listing = &listing{service: b.Service, near: near, index: len(*side)}
-	*side = append(*side, b)
+	b.listing = &listing{service: b.Service, side: side, index: len(p[side])}
+	p[side] = append(p[side], b)
 }
 
 // unlist takes an endpoint out of its pool; the last one takes its place, so that
 // the cost does not grow with the pool.
 func (s *Steerer) unlist(b *backend) {
-	side := s.pools[b.listing.service].side(b.listing.near)
-	last := len(*side) - 1
-	moved := (*side)[last]
-	(*side)[b.listing.index], moved.listing.index = moved, b.listing.index
-	(*side)[last] = nil
-	*side = (*side)[:last]
+	list := &s.pools[b.listing.service][b.listing.side]
+	last := len(*list) - 1
+	moved := (*list)[last]
+	(*list)[b.listing.index], moved.listing.index = moved, b.listing.index
+	(*list)[last] = nil
+	*list = (*list)[:last]
 	b.listing = nil
 }
 
@@ -108,9 +119,9 @@
 	}
 	s.source.Seed(draw, placing)
 	c := choice{steerer: s, now: now, route: r, avoid: avoid, looked: looked, suspect: true}
-	c.lookThrough(pool.near)
+	c.lookThrough(pool[nearSide])
 	if c.suspect || c.load >= foreignLoadOf(r.Bulk) {
-		c.lookThrough(pool.far)
+		c.lookThrough(pool[farSide])
 	}
 	return c.best
 }
--- a/internal/steer/pool_test.go
+++ b/internal/steer/pool_test.go
@@ -153,9 +153,9 @@
 			}
 			s.Learn(start, "c1", reports(m))
 		}
-		Expect(s.pools["booking"].near).To(HaveLen(120))
-		Expect(s.pools["booking"].far).To(BeEmpty())
-		Expect(s.pools["documents"].near).To(HaveLen(120))
+		Expect(s.pools["booking"][nearSide]).To(HaveLen(120))
+		Expect(s.pools["booking"][farSide]).To(BeEmpty())
+		Expect(s.pools["documents"][nearSide]).To(HaveLen(120))
 		for n := range 500 {
 			b := s.byID[s.Decide(start, fleetOpening(n)).ID]
 			Expect(b.open()).To(BeTrue())
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -146,10 +146,12 @@
 }
 
 // askLost asks endpoints that were out of reach whether they are back, so that
-// new flows may go to them again.
+// new flows may go to them again; those that are to get none are left alone.
 func (s *Steerer) askLost(now time.Time) {
 	for b := range s.lost {
-		s.doubt(now, b, Lost)
+		if !s.evacuated(b) {
+			s.doubt(now, b, Lost)
+		}
 	}
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/evacuation"
 	"oxbowsaddle/internal/registry"
 )
 
@@ -51,15 +52,17 @@
 	Steerer struct {
 		config   Config
 		document *document.Document
-		routes   map[netip.AddrPort]*route
-		dropped  map[netip.AddrPort]time.Time // when a route that was in force went
-		byID     map[string]*backend
-		byTag    map[uint32]*backend
-		byAddr   map[netip.AddrPort][]*backend // the incarnations that claim each address
-		pools    map[string]*pool              // by service
-		silentBy map[string]map[string]bool    // by control instance, then endpoint
-		whole    bool                          // a control instance has reported every endpoint
-		digest   registry.Digest               // of byID
+		// evacuations are the failure domains to whose endpoints no new flow goes.
+		evacuations *evacuation.Set
+		routes      map[netip.AddrPort]*route
+		dropped     map[netip.AddrPort]time.Time // when a route that was in force went
+		byID        map[string]*backend
+		byTag       map[uint32]*backend
+		byAddr      map[netip.AddrPort][]*backend // the incarnations that claim each address
+		pools       map[string]*pool              // by service
+		silentBy    map[string]map[string]bool    // by control instance, then endpoint
+		whole       bool                          // a control instance has reported every endpoint
+		digest      registry.Digest               // of byID
 
 		flows    map[flowKey]*flow
 		resting  *list.List            // flows, the longest at rest first
@@ -161,12 +164,15 @@
 	}
 	b := s.choose(now, r, p, avoid, nil)
 	switch {
+	case b == nil && f != nil && s.evacuated(f.backend):
+		// Not reset: its endpoint may have answered the first packet, and the flow be open.
+		return Decision{Reason: Evacuated, ID: f.backend.ID}
 	case b == nil && f != nil:
 		return f.backend.forward(Repeated)
 	case b == nil && !s.whole:
 		return Decision{Reason: NoTable}
 	case b == nil:
-		return Decision{Action: Reset, Reason: NoEndpoint}
+		return Decision{Action: Reset, Reason: s.noEndpoint(r)}
 	case f != nil:
 		s.move(now, f, b)
 		return b.forward(Replaced)
@@ -189,5 +195,5 @@
 // abandon reports whether a copy goes to another endpoint: there is evidence
 // that the first one is silent, or it is the last copy.
 func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
-	return !f.open && (p.Copy >= lastCopy || !f.backend.open() || f.backend.suspect(now))
+	return !f.open && (p.Copy >= lastCopy || !s.takesNew(f.backend) || f.backend.suspect(now))
 }
