Inference about heartbeats turns new flows away, and ends no endpoint any more

Ways weighed: heartbeats that rise several times before they count (a cut may hold several back, and heal at two times: less likely, not impossible); an incarnation that rises again when it is heard (its flows are reset by then); inference only turns new flows away (kept: whatever heartbeats do, no open flow ends by it). What resets flows is an endpoint's own word, or what the entry itself sees: questions that are not accepted, or another incarnation that answers an opening packet.

Crashed incarnations are no longer ended, so entries forget what has been silent, and has answered nobody, for as long as a flow may live: entries kept those that nobody displaced for ever before.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -57,8 +57,9 @@
 // forget drops what a control instance said, since it is out of reach, and
 // asks another one for the document.
 func (e *Entry) forget(source string) {
+	now := e.config.Now()
 	e.mu.Lock()
-	e.steerer.Forget(source)
+	e.steerer.Forget(now, source)
 	e.fetch.lost(source)
 	delete(e.links, source)
 	e.mu.Unlock()
--- a/internal/registry/address.go
+++ b/internal/registry/address.go
@@ -5,23 +5,19 @@
 	"time"
 )
 
-const (
-	// risenBeats is how recently, in periods, an incarnation must have been heard
-	// again before another one at its address counts as ended: it goes on sending.
-	risenBeats = 1.5
-	// excusedAfter is the longest time between two sweeps that does not count as
-	// a pause of this process: several times their period of 0.2 s. Heartbeats may
-	// have been missed in a longer one.
-	excusedAfter = time.Second
-)
+// excusedAfter is the longest time between two sweeps that does not count as
+// a pause of this process: several times their period of 0.2 s. Heartbeats may
+// have been missed in a longer one.
+const excusedAfter = time.Second
 
 // An address is given away only after its endpoint has ended, so of the
-// incarnations at one address one lives at most. Which was heard last does not
-// tell which: a cut may hold heartbeats back until long after their sender has
-// ended. What they cannot do is go on. So an incarnation ends only once it has
-// been silent since both are known, for as long as any endpoint that counts as
-// silent, while another one at its address was heard again and lately. Until
-// then both stand; flows name the incarnation that they are for.
+// incarnations at one address one lives at most. Heartbeats do not tell which: a
+// cut may hold one back until long after its sender has ended, and may lose those
+// of the one that lives meanwhile. So what is inferred from them only turns new
+// flows away; an incarnation ends by its own word alone, since its end has the open
+// flows on it reset. Entries, which see whether an endpoint answers its callers,
+// reset them by that. Flows name the incarnation that they are for, so that none
+// reaches the other one.
 
 // settle keeps the index of the living by address, and notes where two claim one.
 func (r *Registry) settle(now time.Time, held *record) {
@@ -71,17 +67,6 @@
 	return held.incumbent || slices.ContainsFunc(r.living[held.endpoint.Addr], func(rival *record) bool { return rival.heardAgain })
 }
 
-// displaced reports whether an incarnation has ended for certain, since another
-// one at its address goes on sending and this one does not.
-func (r *Registry) displaced(now time.Time, held *record) bool {
-	if held.rivalSince.IsZero() || now.Sub(held.rivalSince) <= r.span(silentBeats) || now.Sub(held.heard) <= r.span(silentBeats) {
-		return false
-	}
-	return slices.ContainsFunc(r.living[held.endpoint.Addr], func(rival *record) bool {
-		return rival != held && rival.heardAgain && now.Sub(rival.heard) <= r.span(risenBeats)
-	})
-}
-
 // excuse begins conflicts about addresses anew after a pause of this process, in
 // which it may have missed heartbeats of either side.
 func (r *Registry) excuse(now time.Time) {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -193,8 +193,7 @@
 	return held.changed
 }
 
-// Sweep marks endpoints that fell silent, ends those whose address is known to
-// be another one's, and drops records that nothing needs.
+// Sweep marks endpoints that fell silent, and drops records that nothing needs.
 func (r *Registry) Sweep(now time.Time) {
 	r.excuse(now)
 	for id, held := range r.records {
@@ -202,9 +201,6 @@
 			r.forget(id, held)
 			continue
 		}
-		if r.displaced(now, held) {
-			r.end(now, held)
-		}
 		if r.quiet(now, held) != held.silent {
 			r.number++
 			r.setSilent(held, !held.silent)
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -39,6 +39,7 @@
 	goneAt    time.Time
 	leavingAt time.Time // when this entry learned that it leaves
 	silent    bool      // by every control instance that knows it
+	silentAt  time.Time // since when
 	shadowed  bool      // another one has the same tag and comes first
 
 	flows        int // remembered by this entry
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -172,7 +172,7 @@
 	if !now.Before(s.forgetAt) {
 		s.forgetAt = now.Add(forgetEvery)
 		s.forgetDropped(now)
-		s.forgetGone(now)
+		s.forgetEnded(now)
 	}
 }
 
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -16,13 +16,13 @@
 		heard = map[string]bool{}
 		s.silentBy[source] = heard
 	}
-	s.learnSame(heard, reports.Same)
+	s.learnSame(now, heard, reports.Same)
 	for _, m := range reports.Endpoints {
 		s.learn(now, registry.FromMessage(m))
 		if b := s.byID[m.Id]; b != nil {
 			heard[m.Id] = m.Silent
 			was := b.silent
-			s.settleSilence(b)
+			s.settleSilence(now, b)
 			if was && !b.silent {
 				s.heardAgain(now, b)
 			}
@@ -30,7 +30,7 @@
 	}
 	s.whole = s.whole || reports.Whole
 	for _, m := range reports.Sums {
-		if !s.learnSum(heard, m) {
+		if !s.learnSum(now, heard, m) {
 			lacking = append(lacking, m.Id)
 		}
 	}
@@ -39,7 +39,7 @@
 
 // learnSum takes what a control instance knows of an endpoint by its sum; it
 // reports false where this entry must ask for more.
-func (s *Steerer) learnSum(heard map[string]bool, m *wire.RecordSum) bool {
+func (s *Steerer) learnSum(now time.Time, heard map[string]bool, m *wire.RecordSum) bool {
 	b := s.byID[m.Id]
 	switch {
 	case b == nil:
@@ -51,21 +51,21 @@
 	}
 	if _, said := heard[m.Id]; !said {
 		heard[m.Id] = false
-		s.settleSilence(b)
+		s.settleSilence(now, b)
 	}
 	return true
 }
 
 // learnSame takes that a control instance knows just what this entry knows of
 // some parts of the endpoints: those that it has not called silent it hears.
-func (s *Steerer) learnSame(heard map[string]bool, parts uint64) {
+func (s *Steerer) learnSame(now time.Time, heard map[string]bool, parts uint64) {
 	if parts == 0 {
 		return
 	}
 	for id, b := range s.byID {
 		if _, said := heard[id]; !said && parts&b.part != 0 {
 			heard[id] = false
-			s.settleSilence(b)
+			s.settleSilence(now, b)
 		}
 	}
 }
@@ -75,10 +75,10 @@
 func (s *Steerer) Digest() registry.Digest { return s.digest }
 
 // Forget drops what a control instance said about silence: it is out of reach.
-func (s *Steerer) Forget(source string) {
+func (s *Steerer) Forget(now time.Time, source string) {
 	delete(s.silentBy, source)
 	for _, b := range s.byID {
-		s.settleSilence(b)
+		s.settleSilence(now, b)
 	}
 }
 
@@ -135,7 +135,7 @@
 }
 
 // settleSilence works out whether an endpoint is silent to all that know it.
-func (s *Steerer) settleSilence(b *backend) {
+func (s *Steerer) settleSilence(now time.Time, b *backend) {
 	known, silent := 0, 0
 	for _, heard := range s.silentBy {
 		if quiet, ok := heard[b.ID]; ok {
@@ -145,25 +145,43 @@
 			}
 		}
 	}
-	b.silent = known > 0 && known == silent
+	if was := b.silent; known == 0 || known > silent {
+		b.silent = false
+	} else if b.silent = true; !was {
+		b.silentAt = now
+	}
 }
 
-// forgetGone forgets incarnations that ended so long ago that no flow of theirs
-// can be left.
-func (s *Steerer) forgetGone(now time.Time) {
-	for id, b := range s.byID {
-		if !b.Gone || now.Sub(b.goneAt) < s.config.MaxFlow {
-			continue
-		}
-		delete(s.byID, id)
-		s.digest.Toggle(id, b.sum)
-		s.freeTag(b)
-		for _, heard := range s.silentBy {
-			delete(heard, id)
-		}
-		itself := func(other *backend) bool { return other == b }
-		if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
-			delete(s.byAddr, b.Addr)
+// forgetEnded forgets incarnations that ended so long ago that no flow of theirs
+// can be left. Of one that crashed nobody says that it has ended: it counts as ended
+// once it has been silent, and has answered no caller, for as long as a flow may live.
+func (s *Steerer) forgetEnded(now time.Time) {
+	for _, b := range s.byID {
+		if b.Gone && now.Sub(b.goneAt) >= s.config.MaxFlow || !b.Gone && s.crashed(now, b) {
+			s.forget(b)
 		}
 	}
 }
+
+// crashed reports whether an incarnation that did not say so has ended long ago.
+func (s *Steerer) crashed(now time.Time, b *backend) bool {
+	return b.silent && b.flows == 0 && now.Sub(b.silentAt) >= s.config.MaxFlow && now.Sub(b.reach.lifeAt) >= s.config.MaxFlow
+}
+
+// forget drops what is known of an incarnation.
+func (s *Steerer) forget(b *backend) {
+	delete(s.byID, b.ID)
+	delete(s.lost, b)
+	s.digest.Toggle(b.ID, b.sum)
+	s.freeTag(b)
+	if b.listing != nil {
+		s.unlist(b)
+	}
+	for _, heard := range s.silentBy {
+		delete(heard, b.ID)
+	}
+	itself := func(other *backend) bool { return other == b }
+	if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
+		delete(s.byAddr, b.Addr)
+	}
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -68,7 +68,7 @@
 		resting  *list.List            // flows, the longest at rest first
 		opening  *list.List            // flows not answered yet, the oldest first
 		sweepAt  time.Time             // of the next sweep
-		forgetAt time.Time             // of the next forgetGone and forgetDropped
+		forgetAt time.Time             // of the next forgetEnded and forgetDropped
 		lost     map[*backend]bool     // those out of reach
 		trips    map[string]*roundTrip // by failure domain of endpoints
 		lifeAt   time.Time             // when any endpoint was last seen to answer
