Cold endpoints: entries learn of them when they become cold again, and keep to a service's bound

Cause: endpoints of a failure domain that was evacuated say, in the same incarnation and 1.5 s before the evacuation is taken back, that they are cold again (trial with each such heartbeat logged: sequence 28 with 2 s left). The registry took a change of warmth for nothing that anybody must know, so entries sent them flows as to warm ones. And services may bound what a cold endpoint carries a second, over all entries.

- registry: a cold time that ends more than 0.3 s later than said before is a change, told whole, since sums do not show it; whoever links again is told of cold ones too.
- steer: an endpoint that is cold gets no new flow where its service has a bound; warm ones take them, also of other failure domains; else new flows are reset at once.
A bound of 0 is none, and changes nothing.
Weighed: an equal split over entries (one flow each of 89 entries in a second is above a bound of 8), an owner of each cold endpoint by a lease of the leader (holds too, and uses what the endpoint carries; its cost is a protocol, its gain some flows in the seconds after a start).

--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -37,6 +37,8 @@
 		Name        string
 		HealthPath  string
 		Connections int // flows that an endpoint holds at most
+		// ColdRate is how many requests a second a cold endpoint carries, 0 for no bound.
+		ColdRate float64
 	}
 
 	// Config is what a Document is made from.
@@ -90,6 +92,9 @@
 		if services[s.Name] {
 			faults = append(faults, fmt.Sprintf("services[%d]: name %q stands twice", i, s.Name))
 		}
+		if !(s.ColdRate >= 0) {
+			faults = append(faults, fmt.Sprintf("services[%d] %q: rate of cold endpoints is below 0", i, s.Name))
+		}
 		services[s.Name] = true
 	}
 	taken := map[netip.AddrPort]string{}
@@ -137,7 +142,7 @@
 func message(c Config) *wire.Document {
 	m := &wire.Document{Version: c.Version, IdleNanos: int64(c.Idle), Source: c.Source}
 	for _, s := range c.Services {
-		m.Services = append(m.Services, &wire.DocumentService{Name: s.Name, HealthPath: s.HealthPath, Connections: uint32(s.Connections)})
+		m.Services = append(m.Services, &wire.DocumentService{Name: s.Name, HealthPath: s.HealthPath, Connections: uint32(s.Connections), ColdRate: s.ColdRate})
 	}
 	for _, r := range c.Routes {
 		route := &wire.DocumentRoute{
@@ -158,7 +163,7 @@
 func FromMessage(m *wire.Document) (*Document, error) {
 	c := Config{Version: m.Version, Idle: time.Duration(m.IdleNanos), Source: m.Source}
 	for _, s := range m.Services {
-		c.Services = append(c.Services, Service{Name: s.Name, HealthPath: s.HealthPath, Connections: int(s.Connections)})
+		c.Services = append(c.Services, Service{Name: s.Name, HealthPath: s.HealthPath, Connections: int(s.Connections), ColdRate: s.ColdRate})
 	}
 	for _, r := range m.Routes {
 		addr, err := netip.ParseAddrPort(r.Address)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,6 +18,9 @@
 	// forgetBeats is how many periods after its last heartbeat a record is
 	// dropped: a flow's longest life of 60 s at a period of 0.77 s.
 	forgetBeats = 80
+	// coolingAfter is by how much the end of an endpoint's cold time must move for
+	// it to have become cold again: more than the spread of its heartbeats' ways.
+	coolingAfter = 300 * time.Millisecond
 )
 
 type (
@@ -59,18 +62,18 @@
 
 	// record is what is known of one incarnation.
 	record struct {
-		endpoint       Endpoint
-		heard          time.Time
-		silent         bool
-		rivalSince     time.Time     // when another incarnation at the address was first known, zero for none
-		incumbent      bool          // known before the other one
-		heardAgain     bool          // heard with a higher sequence since then
-		sum            uint64        // as the registry's digest has it, 0 before that
-		changed        uint64        // number of the last change that entries must know
-		silenceChanged uint64        // number of the last change that was about silence
-		peersChanged   uint64        // number of the last heartbeat or change that peers must know
-		inChanges      *list.Element // of Registry.changes
-		inBeats        *list.Element // of Registry.beats
+		endpoint     Endpoint
+		heard        time.Time
+		silent       bool
+		rivalSince   time.Time     // when another incarnation at the address was first known, zero for none
+		incumbent    bool          // known before the other one
+		heardAgain   bool          // heard with a higher sequence since then
+		sum          uint64        // as the registry's digest has it, 0 before that
+		changed      uint64        // number of the last change that entries must know
+		viewChanged  uint64        // number of the last change that sums do not show: of silence, or to cold
+		peersChanged uint64        // number of the last heartbeat or change that peers must know
+		inChanges    *list.Element // of Registry.changes
+		inBeats      *list.Element // of Registry.beats
 	}
 )
 
@@ -100,7 +103,8 @@
 		return max(held.changed, held.peersChanged), false
 	}
 	r.number++
-	changed := held == nil || material(held.endpoint, e)
+	cooled := held != nil && r.cooled(now.Add(-age), held, e)
+	changed := held == nil || cooled || material(held.endpoint, e)
 	if held == nil {
 		held = &record{}
 		r.records[e.ID] = held
@@ -110,6 +114,9 @@
 	if held.endpoint.Addr != e.Addr {
 		r.vacate(held)
 	}
+	if cooled {
+		held.viewChanged = r.number
+	}
 	held.endpoint = e
 	if heard := now.Add(-age); heard.After(held.heard) {
 		held.heard = heard
@@ -128,6 +135,17 @@
 	return r.number, true
 }
 
+// cooled reports whether an incarnation that is heard at a time says that it stays
+// cold for longer than what it said last: it became cold again.
+func (r *Registry) cooled(heard time.Time, held *record, e Endpoint) bool {
+	return heard.Add(e.Warm).Sub(held.heard.Add(held.endpoint.Warm)) > coolingAfter && e.Warm > 0
+}
+
+// cold reports whether an endpoint said that it is still cold.
+func (held *record) cold(now time.Time) bool {
+	return held.endpoint.Warm > 0 && now.Sub(held.heard) < held.endpoint.Warm
+}
+
 // material reports whether entries must learn of the difference.
 func material(a, b Endpoint) bool {
 	a.Sequence, b.Sequence = 0, 0
@@ -217,7 +235,7 @@
 
 // setSilent notes a change of silence under the registry's present number.
 func (r *Registry) setSilent(held *record, silent bool) {
-	held.silent, held.silenceChanged = silent, r.number
+	held.silent, held.viewChanged = silent, r.number
 }
 
 // forget drops a record that nothing needs.
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -20,13 +20,13 @@
 }
 
 // ChangesBriefly returns what has changed after a number for an entry that
-// another control instance tells every record: only sums, but what says of an
-// endpoint that it fell silent, or no longer is, whole, since that is this
-// registry's own view.
+// another control instance tells every record: only sums, but whole what they do not
+// show: that an endpoint fell silent, or no longer is, which is this registry's own
+// view, and that it became cold.
 func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
 	out := r.emptyReports(now)
 	for held := range r.changedAfter(after) {
-		if held.silenceChanged > after {
+		if held.viewChanged > after {
 			out.Endpoints = append(out.Endpoints, message(now, held))
 			continue
 		}
@@ -47,12 +47,12 @@
 }
 
 // Lacking returns the records that an entry lacks which knows what its digest
-// says: the parts on which both differ, and of the others what is silent.
+// says: the parts on which both differ, and of the others what is silent or cold.
 func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
 	out := r.emptyReports(now)
 	out.Same = r.digest.same(&known)
 	for held := range r.changedAfter(0) {
-		if held.silent || out.Same&PartBit(held.endpoint.ID) == 0 {
+		if held.silent || held.cold(now) || out.Same&PartBit(held.endpoint.ID) == 0 {
 			m := message(now, held)
 			m.AgeNanos = 0 // for peers; a fifth of the list once it is compressed
 			out.Endpoints = append(out.Endpoints, m)
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -77,6 +77,9 @@
 	return b.silent || b.reach.lost || now.Before(b.suspectUntil)
 }
 
+// cold reports whether it is still slow, as far as it said.
+func (b *backend) cold(now time.Time) bool { return now.Before(b.warmUntil) }
+
 // open reports whether new flows may go to it at all.
 func (b *backend) open() bool { return !b.Leaving && !b.Gone && !b.shadowed }
 
@@ -84,7 +87,7 @@
 // sees it, with what speaks against it.
 func (b *backend) load(now time.Time, domain string, bulk bool) float64 {
 	load := (float64(b.busy) + flowLoad*float64(b.flows)) / float64(max(1, b.Slots))
-	if now.Before(b.warmUntil) {
+	if b.cold(now) {
 		load += coldLoad
 	}
 	if b.Domain != domain {
--- /dev/null
+++ b/internal/steer/cold_test.go
@@ -0,0 +1,102 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/document"
+	"oxbowsaddle/internal/wire"
+)
+
+var _ = Describe("cold endpoints of a service that bounds what they carry", func() {
+	const coldFor = 2 * time.Second
+	bounded := func(s *Steerer, version uint64, rate float64) {
+		d, faults := document.New(document.Config{
+			Version: version, Routes: []document.Route{routeTo(bookingAddr, "booking")},
+			Services: []document.Service{{Name: "booking", ColdRate: rate}},
+		})
+		Expect(faults).To(BeEmpty())
+		s.SetDocument(start, d)
+	}
+	// coldReport is a report of an endpoint that has just started in a failure domain.
+	coldReport := func(n int, domain string) *wire.EndpointReport {
+		m := fleetReport(n, domain)
+		m.WarmNanos = int64(coldFor)
+		return m
+	}
+	fleet := func(rate float64) *Steerer {
+		s := fleetSteerer(threeDomains(40))
+		bounded(s, 2, rate)
+		for n := 200; n < 240; n++ {
+			s.Learn(start, "c1", reports(coldReport(n, "plateau")))
+		}
+		return s
+	}
+
+	It("get no new flow from any entry until they are warm, under three times the usual load", func() {
+		const entries, flows = 30, 50 // in a second at each: 12 for each endpoint of the failure domain
+		got := map[string]int{}
+		for range entries {
+			s := fleet(4)
+			for n := range flows {
+				at := start.Add(time.Duration(rand.New(rand.NewPCG(uint64(n), 1)).Int64N(int64(coldFor))))
+				d := s.Decide(at, fleetOpening(n))
+				Expect(d.Action).To(Equal(Forward))
+				got[d.ID]++
+			}
+		}
+		for n := 200; n < 240; n++ {
+			Expect(got).NotTo(HaveKey(fleetReport(n, "").Id))
+		}
+	})
+
+	It("get them as others do once they are warm, and where nothing bounds them", func() {
+		for _, s := range []*Steerer{fleet(4), fleet(0)} {
+			at := start
+			if s.coldRates["booking"] > 0 {
+				at = start.Add(coldFor)
+			}
+			got := 0
+			for n := range 4000 {
+				if d := s.Decide(at, fleetOpening(n)); d.Number >= 200 {
+					got++
+				}
+			}
+			Expect(got).To(BeNumerically(">", 0))
+		}
+	})
+
+	It("leave new flows to another failure domain, and have them reset at once where none is warm", func() {
+		s := New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 10_000})
+		bounded(s, 1, 4)
+		s.Learn(start, "c1", reports(coldReport(1, "plateau"), coldReport(2, "plateau"), fleetReport(3, "almadies")))
+		d := s.Decide(start, fleetOpening(1))
+		Expect(d.Number).To(Equal(uint64(3)))
+		s.Learn(start, "c1", reports(func() *wire.EndpointReport {
+			m := fleetReport(3, "almadies")
+			m.Sequence, m.Leaving = 2, true
+			return m
+		}()))
+		d = s.Decide(start, fleetOpening(2))
+		Expect(d.Action).To(Equal(Reset))
+		Expect(d.Reason).To(Equal(Cold))
+		Expect(s.Explain(start, fleetOpening(2).Src, bookingAddr).Candidates[0].Verdict).To(ContainSubstring("warm in 2s"))
+	})
+
+	It("get no copy of an opening packet that was sent before they became cold again", func() {
+		s := New(Config{Domain: "plateau", MaxFlow: time.Minute, MaxFlows: 10_000})
+		bounded(s, 1, 4)
+		s.Learn(start, "c1", reports(fleetReport(1, "plateau")))
+		p := fleetOpening(1)
+		Expect(s.Decide(start, p).Number).To(Equal(uint64(1)))
+		again := coldReport(1, "plateau")
+		again.Sequence = 2
+		s.Learn(start, "c1", reports(again))
+		p.Copy = 1
+		Expect(s.Decide(start.Add(200*time.Millisecond), p).Action).To(Equal(Drop), "not reset: the flow may be open")
+		Expect(s.Decide(start.Add(coldFor), p).Number).To(Equal(uint64(1)))
+	})
+})
--- a/internal/steer/decision.go
+++ b/internal/steer/decision.go
@@ -24,6 +24,7 @@
 	EndpointGone               // the flow's endpoint has ended
 	EndpointLost               // the flow's endpoint cannot be reached from here
 	Evacuated                  // the failure domains of all endpoints that could take the flow are evacuated
+	Cold                       // all endpoints that could take the flow are cold, and carry few requests a second
 	Malformed                  // the packet cannot be read, or no caller sends such
 
 	// ReasonCount is how many there are.
@@ -55,7 +56,7 @@
 	actionNames = [...]string{"drop", "forward", "reset"}
 	reasonNames = [ReasonCount]string{
 		"placed", "repeated", "replaced", "steered", "corrected", "no_table", "no_route", "route_dropped",
-		"no_endpoint", "unknown_tag", "endpoint_gone", "endpoint_lost", "evacuated", "malformed",
+		"no_endpoint", "unknown_tag", "endpoint_gone", "endpoint_lost", "evacuated", "cold", "malformed",
 	}
 )
 
--- a/internal/steer/evacuation.go
+++ b/internal/steer/evacuation.go
@@ -1,6 +1,10 @@
 package steer
 
 import (
+	"slices"
+	"time"
+
+	"oxbowsaddle/internal/document"
 	"oxbowsaddle/internal/evacuation"
 )
 
@@ -26,8 +30,10 @@
 // domain is evacuated.
 func (s *Steerer) evacuated(b *backend) bool { return s.sideOf(b) == evacuatedSide }
 
-// takesNew reports whether new flows may go to an endpoint at all.
-func (s *Steerer) takesNew(b *backend) bool { return b.open() && !s.evacuated(b) }
+// takesNew reports whether new flows may go to an endpoint now.
+func (s *Steerer) takesNew(now time.Time, b *backend) bool {
+	return b.open() && !s.evacuated(b) && !s.reserved(now, b)
+}
 
 // noEndpoint returns why no endpoint may take a new flow of a route. Where only
 // evacuated ones could, the flow is reset at once all the same: the operator's order
@@ -38,5 +44,17 @@
 			return Evacuated
 		}
 	}
+	if s.anyListed(r) {
+		return Cold
+	}
 	return NoEndpoint
 }
+
+// anyListed reports whether a route has endpoints that would take new flows if they
+// were warm.
+func (s *Steerer) anyListed(r *route) bool {
+	return slices.ContainsFunc(r.Shares, func(share document.Share) bool {
+		p := s.pools[share.Service]
+		return p != nil && len(p[nearSide])+len(p[farSide]) > 0 && s.coldRates[share.Service] > 0
+	})
+}
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -24,6 +24,7 @@
 	RouteDropped: "bring the route back if the flow should live on",
 	NoEndpoint:   "start endpoints of the service, or keep some from leaving",
 	EndpointGone: "nothing: its caller opens another flow",
+	Cold:         "wait until endpoints are warm, or start more of the service before they are needed",
 	Evacuated:    "end an evacuation with `oxbowsaddle evacuate --undo`, or start endpoints in another failure domain",
 	EndpointLost: "look at the endpoint, and at the network to its failure domain",
 }
@@ -137,6 +138,9 @@
 // verdict tells what speaks for and against an endpoint here.
 func (s *Steerer) verdict(now time.Time, b *backend, bulk bool) string {
 	verdict := b.verdict(now, s.config.Domain, bulk)
+	if b.open() && s.reserved(now, b) {
+		verdict += fmt.Sprintf(", takes no new flow before it is warm in %s: it carries too few a second then", b.warmUntil.Sub(now).Round(time.Millisecond))
+	}
 	if b.open() && s.evacuated(b) {
 		verdict += fmt.Sprintf(", takes no new flow: failure domain %s is evacuated by revision %d", b.Domain, s.evacuations.Revision())
 	}
@@ -157,7 +161,7 @@
 	if b.Domain != domain {
 		verdict += ", in failure domain " + b.Domain
 	}
-	if now.Before(b.warmUntil) {
+	if b.cold(now) {
 		verdict += ", still slow"
 	}
 	if b.reach.lost {
--- a/internal/steer/pool.go
+++ b/internal/steer/pool.go
@@ -141,7 +141,7 @@
 
 // lookAt takes an endpoint if it is better than the best so far.
 func (c *choice) lookAt(b *backend) {
-	if b == c.avoid {
+	if b == c.avoid || c.steerer.reserved(c.now, b) {
 		return
 	}
 	if c.looked != nil {
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -54,15 +54,18 @@
 		document *document.Document
 		// evacuations are the failure domains to whose endpoints no new flow goes.
 		evacuations *evacuation.Set
-		routes      map[netip.AddrPort]*route
-		dropped     map[netip.AddrPort]time.Time // when a route that was in force went
-		byID        map[string]*backend
-		byTag       map[uint32]*backend
-		byAddr      map[netip.AddrPort][]*backend // the incarnations that claim each address
-		pools       map[string]*pool              // by service
-		silentBy    map[string]map[string]bool    // by control instance, then endpoint
-		whole       bool                          // a control instance has reported every endpoint
-		digest      registry.Digest               // of byID
+		// coldRates are, by service, how many requests a second a cold endpoint carries;
+		// services without a bound are not in it.
+		coldRates map[string]float64
+		routes    map[netip.AddrPort]*route
+		dropped   map[netip.AddrPort]time.Time // when a route that was in force went
+		byID      map[string]*backend
+		byTag     map[uint32]*backend
+		byAddr    map[netip.AddrPort][]*backend // the incarnations that claim each address
+		pools     map[string]*pool              // by service
+		silentBy  map[string]map[string]bool    // by control instance, then endpoint
+		whole     bool                          // a control instance has reported every endpoint
+		digest    registry.Digest               // of byID
 
 		flows    map[flowKey]*flow
 		resting  *list.List            // flows, the longest at rest first
@@ -164,9 +167,9 @@
 	}
 	b := s.choose(now, r, p, avoid, nil)
 	switch {
-	case b == nil && f != nil && s.evacuated(f.backend):
+	case b == nil && f != nil && f.backend.open() && !s.takesNew(now, f.backend):
 		// Not reset: its endpoint may have answered the first packet, and the flow be open.
-		return Decision{Reason: Evacuated, ID: f.backend.ID}
+		return Decision{Reason: s.noEndpoint(r), ID: f.backend.ID}
 	case b == nil && f != nil:
 		return f.backend.forward(Repeated)
 	case b == nil && !s.whole:
@@ -195,5 +198,5 @@
 // abandon reports whether a copy goes to another endpoint: there is evidence
 // that the first one is silent, or it is the last copy.
 func (s *Steerer) abandon(now time.Time, f *flow, p Packet) bool {
-	return !f.open && (p.Copy >= lastCopy || !s.takesNew(f.backend) || f.backend.suspect(now))
+	return !f.open && (p.Copy >= lastCopy || !s.takesNew(now, f.backend) || f.backend.suspect(now))
 }
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -34,7 +34,7 @@
 			s.dropped[addr] = now
 		}
 	}
-	s.document, s.routes = d, routes
+	s.document, s.routes, s.coldRates = d, routes, coldRatesOf(d)
 	return true
 }
 
