Flows of a superseded endpoint end once callers repeat data to it

Cause: after a failure domain had lost power its callers' long flows waited on incarnations that had ended, for their deadlines: the address accepts connections, of the next one. Where heartbeats call an endpoint silent and another one at its address living, the path works, and callers repeated data to it twice without an answer, its flows end.

Ruled out: ending it by heartbeats alone (a late one may speak for the wrong one).

--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -26,6 +26,11 @@
 	// missHolds is how long a miss is proof enough to reset a flow: within it an
 	// endpoint may come back, but no flow on it has lived through that unharmed.
 	missHolds = 1200 * time.Millisecond
+	// stallsToEnd is how many times callers must repeat data to a superseded endpoint,
+	// each time while its address accepts a connection and with no answer of it in
+	// between, before it counts as ended: a packet of a living one may be lost. Questions
+	// are at least askAgainAfter apart.
+	stallsToEnd = 2
 )
 
 // Why an endpoint is asked: the closed list.
@@ -88,6 +93,7 @@
 		lifeAt time.Time // when it was last seen to answer
 		tellAt time.Time // other entries are not told before
 		passed bool      // another incarnation lives at its address: it has ended
+		stalls int       // times in a row that callers repeated data though the address answers
 	}
 )
 
@@ -110,6 +116,7 @@
 // alive takes evidence that an endpoint answers callers.
 func (s *Steerer) alive(now time.Time, b *backend) {
 	b.reach.lifeAt, s.lifeAt = now, now
+	b.reach.stalls = 0
 	delete(s.outages, b.Domain)
 	s.found(b)
 }
@@ -181,8 +188,9 @@
 		b.reach.askAt, b.reach.unsure = now.Add(askAgainAfter), 0
 		if !s.contested(b) {
 			s.found(b)
+			return nil
 		}
-		return nil
+		return s.stalled(b, q)
 	}
 	if b.reach.lifeAt.After(q.began) || b.Leaving {
 		return nil
@@ -198,6 +206,31 @@
 	return s.missed(now, b, q.Why)
 }
 
+// superseded reports whether heartbeats speak for an endpoint having ended, and for
+// another one at its address living. That alone ends no flow.
+func (s *Steerer) superseded(b *backend) bool {
+	return b.silent && slices.ContainsFunc(s.byAddr[b.Addr], func(other *backend) bool {
+		return other != b && !other.Gone && !other.silent && !other.reach.passed
+	})
+}
+
+// stalled takes that an address accepted a connection while a caller repeated data to
+// an endpoint there. Where heartbeats say that another one lives at the address by now,
+// the path works and the flow's endpoint is not there: its flows end, rather than
+// wait for their deadlines.
+func (s *Steerer) stalled(b *backend, q Question) []Ended {
+	if q.Why != Unacked || b.reach.lifeAt.After(q.began) || !s.superseded(b) {
+		return nil
+	}
+	if b.reach.stalls++; b.reach.stalls < stallsToEnd {
+		return nil
+	}
+	b.reach.passed, b.reach.lost = true, true
+	delete(s.lost, b)
+	s.suspected(b, true)
+	return s.endFlows(b)
+}
+
 // missed counts a question that was not answered.
 func (s *Steerer) missed(now time.Time, b *backend, why Evidence) []Ended {
 	if !b.reach.lost && now.Sub(b.reach.missAt) > missHolds {
--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -231,6 +231,34 @@
 		Expect(next.reach.lost).To(BeFalse())
 	})
 
+	It("have ended once callers repeat data to one that heartbeats call superseded, though its address answers", func() {
+		b := s.byTag[dead]
+		stall := func(why Evidence) []Ended {
+			now = now.Add(askAgainAfter)
+			return s.Answered(now, Question{ID: b.ID, Why: why, began: now.Add(-time.Millisecond)}, Reached)
+		}
+		open := func() {
+			p := opening(7100, 7, 0)
+			s.remember(now, p, b)
+			s.flows[flowKey{p.Src, p.Dst}].open = true
+		}
+		open()
+		s.Learn(now, "c1", reports(report("booking", 9, func(m *wire.EndpointReport) { m.Address = b.Addr.String() })))
+		Expect(append(stall(Unacked), stall(Unacked)...)).To(BeEmpty(), "it is not silent: the other one is the one that may have ended")
+
+		for _, h := range s.silentBy {
+			h[b.ID] = true
+		}
+		s.settleSilence(now, b)
+		Expect(s.superseded(b)).To(BeTrue())
+		Expect(append(stall(Unopened), stall(Again)...)).To(BeEmpty(), "no caller of an open flow waits")
+		Expect(stall(Unacked)).To(BeEmpty(), "one packet may be lost")
+		s.alive(now, b)
+		Expect(stall(Unacked)).To(BeEmpty(), "it has answered a caller meanwhile")
+		Expect(stall(Unacked)).NotTo(BeEmpty())
+		Expect(s.Decide(now, later(1000, dead, 8, 1, 10)).Reason).To(Equal(EndpointLost))
+	})
+
 	It("are told of to other entries, once and only by who found out itself", func() {
 		now = now.Add(200 * time.Millisecond)
 		request(1000, dead, 8)
