Endpoints that take requests and do not answer are avoided once three entries say so

Cause: an endpoint that hangs while it says that it is well takes its share of the flows for as long as that lasts; an entry of 89 sees a request of it every ten seconds.

An entry reports a request that has waited for twice its route's aim, and 0.5 s at least, while others of the service were answered in time meanwhile, three for each that was not. Control instances count (internal/outlier): three entries within 3 s are a verdict, told to every entry. New flows avoid the endpoint for 3 s, 6, 12 at most, and a third of a service at most; open flows stay. Load-playing tests: hanging ones are found in a second; none is made of long requests, a service that is slow or hangs as a whole, or what one entry says.

Two ways: by entries alone (each sees too little: not built), by sums at control instances.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"oxbowsaddle/internal/directory"
 	"oxbowsaddle/internal/fault"
+	"oxbowsaddle/internal/outlier"
 	"oxbowsaddle/internal/storage"
 	"oxbowsaddle/internal/wire"
 )
@@ -53,6 +55,8 @@
 		entries   *entryList
 		timings   controlTimings
 		peers     *peerLinks
+		judging   sync.Mutex // held while outliers is used
+		outliers  *outlier.Tracker
 
 		// Owned by loop.
 		directory *directory.Directory // nil while the disk fails
@@ -71,6 +75,7 @@
 	control := &Control{
 		config: c, calls: make(chan func(time.Time), queue), waiting: map[uint64]chan bool{},
 		endpoints: newEndpointList(c), entries: newEntryList(c.Now), timings: newControlTimings(),
+		outliers: outlier.New(),
 	}
 	control.firstList = &firstList{endpoints: control.endpoints}
 	control.audience = &audience{now: c.Now}
--- a/internal/node/doubts.go
+++ b/internal/node/doubts.go
@@ -8,42 +8,71 @@
 
 // tell queues that other entries are told of an endpoint, without waiting; where
 // the queue is full they find out for themselves.
-func (e *Entry) tell(id string) {
+func (e *Entry) tell(id string) { e.queueDoubt(&wire.Doubt{Id: id}) }
+
+// tellHung queues that an endpoint does not answer a request, without waiting.
+func (e *Entry) tellHung(id string) { e.queueDoubt(&wire.Doubt{Id: id, Hung: true}) }
+
+func (e *Entry) queueDoubt(d *wire.Doubt) {
 	select {
-	case e.doubts <- id:
+	case e.doubts <- d:
 	default:
 	}
 }
 
 // doubtLoop tells one control instance, which tells the other entries, of
-// endpoints that left a question without an answer, until the context ends.
+// endpoints that left a question or a request without an answer, until the context
+// ends.
 func (e *Entry) doubtLoop(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case id := <-e.doubts:
+		case d := <-e.doubts:
 			e.mu.Lock()
 			link := e.links[e.primary.chosen]
 			e.mu.Unlock()
 			if link != nil {
-				_ = link.send(doubtFrame(id)) // a link that fails is noticed where it is read
+				_ = link.send(doubtFrame(d)) // a link that fails is noticed where it is read
 			}
 		}
 	}
 }
 
-// takeDoubt has an endpoint asked that another entry missed an answer of.
-func (e *Entry) takeDoubt(id string) {
+// takeDoubt has an endpoint asked that another entry missed an answer of, or new
+// flows avoid one that several entries wait for.
+func (e *Entry) takeDoubt(d *wire.Doubt) {
 	now := e.config.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.steerer.Doubted(now, id)
+	if !d.Hung {
+		e.steerer.Doubted(now, d.Id)
+	} else if e.steerer.TakeHung(now, d.Id) {
+		e.config.Log.Warn("endpoint avoided", "endpoint", d.Id, "why", "several entries wait for its answers")
+	}
+}
+
+// takeDoubt takes what an entry says of an endpoint. Others are told at once that it
+// left a question without an answer, which each asks again by itself; that it does
+// not answer requests only once several entries have said so.
+func (c *Control) takeDoubt(from *entryFeed, d *wire.Doubt) {
+	if !d.Hung {
+		c.entries.spread(from, d)
+		return
+	}
+	now := c.config.Now()
+	c.judging.Lock()
+	verdict := c.outliers.Report(now, d.Id, from.name)
+	c.judging.Unlock()
+	if verdict {
+		c.config.Log.Warn("endpoint does not answer requests", "endpoint", d.Id, "entry", from.name)
+		c.entries.spread(nil, d)
+	}
 }
 
 // spread tells all entries but one of an endpoint. One that has not taken the
 // doubts before finds out for itself.
-func (l *entryList) spread(from *entryFeed, id string) {
+func (l *entryList) spread(from *entryFeed, d *wire.Doubt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.entries {
@@ -51,13 +80,13 @@
 			continue
 		}
 		select {
-		case e.feed.doubts <- id:
+		case e.feed.doubts <- d:
 		default:
 		}
 	}
 }
 
 // doubtFrame returns the frame that tells of a doubt.
-func doubtFrame(id string) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Doubt{Doubt: &wire.Doubt{Id: id}}}
+func doubtFrame(d *wire.Doubt) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Doubt{Doubt: d}}
 }
--- a/internal/node/doubts_test.go
+++ b/internal/node/doubts_test.go
@@ -48,7 +48,7 @@
 		slow := newEntryFeed(nil, nil, &wire.Hello{Id: "slow"})
 		l.heard(slow, &wire.Receipt{Version: 1})
 		for range 2 * doubtsWaiting {
-			l.spread(nil, "i-1")
+			l.spread(nil, &wire.Doubt{Id: "i-1"})
 		}
 		Expect(slow.doubts).To(HaveLen(doubtsWaiting))
 	})
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -15,6 +15,7 @@
 	"oxbowsaddle/internal/document"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/steer"
+	"oxbowsaddle/internal/wire"
 )
 
 const (
@@ -61,7 +62,7 @@
 		kept      *keptRing
 		timings   entryTimings
 		questions chan steer.Question
-		doubts    chan string // ids of endpoints that other entries are to be told of
+		doubts    chan *wire.Doubt // that others are to be told of
 
 		choosing sync.Mutex // held while the primary is chosen and told; taken before mu
 
@@ -85,14 +86,14 @@
 		config: c, kept: newKeptRing(), timings: newEntryTimings(), fetch: newFetch(), primary: newPrimary(c.Name, c.Domain), links: map[string]*entryLink{},
 		flowLines: rate.NewLimiter(flowLinesPerSecond, flowLinesAtOnce),
 		questions: make(chan steer.Question, questionsAtOnce),
-		doubts:    make(chan string, questionsAtOnce),
+		doubts:    make(chan *wire.Doubt, questionsAtOnce),
 	}
 	e.steerer = steer.New(steer.Config{
 		Domain: c.Domain, MaxFlow: c.MaxFlow, MaxFlows: maxFlows, Beat: c.Beat,
 		Suspected: func(id string, suspect bool) {
 			c.Log.Warn("endpoint suspected", "endpoint", id, "suspect", suspect)
 		},
-		Ask: e.ask, Tell: e.tell,
+		Ask: e.ask, Tell: e.tell, Hung: e.tellHung,
 	})
 	e.watch = newWatch(e)
 	return e
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -71,7 +71,7 @@
 			return l.send(&wire.Frame{Body: &wire.Frame_Records{Records: &wire.RecordsWant{Ids: lacking}}})
 		}
 	case *wire.Frame_Doubt:
-		entry.takeDoubt(body.Doubt.Id)
+		entry.takeDoubt(body.Doubt)
 	case *wire.Frame_Roster:
 		if body.Roster.Leads {
 			entry.noteLeader()
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -39,7 +39,7 @@
 	known   registry.Digest  // what the entry knew when the link began
 	wants   chan uint64      // the version that the entry holds, when it asks
 	records chan []string    // the endpoints that the entry asks for
-	doubts  chan string      // endpoints that another entry missed an answer of
+	doubts  chan *wire.Doubt // of other entries
 	modes   chan bool        // whether it is told briefly from now on
 	brief   bool             // another control instance tells it whole records
 	due     <-chan time.Time // when changes have gathered, nil while there are none
@@ -56,7 +56,7 @@
 		control: control, stream: stream, name: hello.Id, domain: hello.Domain,
 		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
 		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
-		doubts: make(chan string, doubtsWaiting),
+		doubts: make(chan *wire.Doubt, doubtsWaiting),
 	}
 }
 
@@ -77,7 +77,7 @@
 		case *wire.Frame_Subscription:
 			hand(ctx, f.modes, body.Subscription.Brief)
 		case *wire.Frame_Doubt:
-			f.control.entries.spread(f, body.Doubt.Id)
+			f.control.takeDoubt(f, body.Doubt)
 		case *wire.Frame_Receipt:
 			f.control.entries.heard(f, body.Receipt)
 		}
@@ -120,8 +120,8 @@
 			err = f.answerWant(held)
 		case ids := <-f.records:
 			err = f.stream.Send(reportsFrame(f.control.endpoints.records(ids)))
-		case id := <-f.doubts:
-			err = f.stream.Send(doubtFrame(id))
+		case d := <-f.doubts:
+			err = f.stream.Send(doubtFrame(d))
 		case f.brief = <-f.modes:
 			err = f.sendReports()
 		case <-ticker.C:
--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -49,6 +49,7 @@
 	suspectUntil time.Time
 
 	reach   reach
+	hung    hung
 	listing *listing // nil while new flows may not go to it
 }
 
--- a/internal/steer/counts.go
+++ b/internal/steer/counts.go
@@ -4,8 +4,8 @@
 
 // Counts tells what a Steerer holds.
 type Counts struct {
-	Flows, Endpoints, Silent, Suspect, Lost int
-	Version                                 uint64
+	Flows, Endpoints, Silent, Suspect, Lost, Hung int
+	Version                                       uint64
 }
 
 // Counts returns what the Steerer holds.
@@ -18,6 +18,9 @@
 		if now.Before(b.suspectUntil) {
 			c.Suspect++
 		}
+		if now.Before(b.hung.until) {
+			c.Hung++
+		}
 		if b.reach.lost && !b.Gone {
 			c.Lost++
 		}
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -82,6 +82,7 @@
 	}
 	if int32(p.Ack-f.acked) > 0 {
 		s.alive(now, f.backend)
+		s.noteAnswer(now, f)
 		f.setBusy(false)
 	}
 	f.acked = p.Ack
@@ -91,6 +92,7 @@
 	if end := p.Seq + uint32(p.Len); int32(end-f.asked) > 0 {
 		f.asked, f.askedAt = end, now
 		f.setBusy(true)
+		s.awaitAnswer(f)
 	} else if f.busy && now.Sub(f.askedAt) >= answerWithin { // sooner, packets have only overtaken each other
 		s.doubt(now, f.backend, Unacked)
 	}
@@ -169,6 +171,7 @@
 	s.countUnanswered(now)
 	s.forgetResting(now)
 	s.askLost(now)
+	s.reportHung(now)
 	if !now.Before(s.forgetAt) {
 		s.forgetAt = now.Add(forgetEvery)
 		s.forgetDropped(now)
--- /dev/null
+++ b/internal/steer/hung_test.go
@@ -0,0 +1,224 @@
+package steer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/outlier"
+)
+
+// hungFleet is entries before one service, with a control instance that judges what
+// they report.
+type hungFleet struct {
+	entries []*Steerer
+	tracker *outlier.Tracker
+	now     time.Time
+	random  *rand.Rand
+	ports   uint16
+	// answers returns after how long an endpoint answers a request, 0 for never.
+	answers func(at time.Time, id string) time.Duration
+	due     []answerDue
+	given   []int // requests that an endpoint took which never answers, by second
+	judged  map[string]bool
+}
+
+// answerDue is an answer on its way to a caller.
+type answerDue struct {
+	at    time.Time
+	entry *Steerer
+	p     Packet // of the caller, which takes it
+}
+
+func newHungFleet(entries, endpoints int) *hungFleet {
+	f := &hungFleet{tracker: outlier.New(), now: start, random: rand.New(rand.NewPCG(1, 2)), judged: map[string]bool{}}
+	route := routeTo(bookingAddr, "booking")
+	route.Target = 500 * time.Millisecond
+	for n := range entries {
+		s := fleetSteerer(threeDomains(endpoints)[:endpoints])
+		s.SetDocument(start, testDocument(2, route))
+		s.config.Hung = func(id string) { f.report(fmt.Sprint("e", n), id) }
+		f.entries = append(f.entries, s)
+	}
+	return f
+}
+
+func (f *hungFleet) report(entry, id string) {
+	if !f.tracker.Report(f.now, id, entry) {
+		return
+	}
+	for _, s := range f.entries {
+		if s.TakeHung(f.now, id) {
+			f.judged[id] = true
+		}
+	}
+}
+
+// run plays some seconds of a request each 1/perSecond s at each entry, a flow each.
+func (f *hungFleet) run(seconds, perSecond int) {
+	const step = 10 * time.Millisecond
+	begin := f.now
+	for ; f.now.Before(begin.Add(time.Duration(seconds) * time.Second)); f.now = f.now.Add(step) {
+		for _, s := range f.entries {
+			if f.random.IntN(int(time.Second/step)) < perSecond {
+				f.request(s)
+			}
+		}
+		var later []answerDue
+		for _, a := range f.due {
+			if a.at.After(f.now) {
+				later = append(later, a)
+			} else {
+				a.entry.Decide(f.now, a.p)
+			}
+		}
+		f.due = later
+		for _, s := range f.entries {
+			s.sweep(f.now)
+		}
+	}
+}
+
+// request opens a flow and sends a request on it.
+func (f *hungFleet) request(s *Steerer) {
+	f.ports++
+	src := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(f.random.IntN(250)), byte(f.random.IntN(250))}), f.ports)
+	d := s.Decide(f.now, Packet{Src: src, Dst: bookingAddr, Flags: Syn, Seq: 7})
+	p := Packet{Src: src, Dst: bookingAddr, Flags: Ack, Seq: 8, Ack: 1, Tag: d.Tag, Len: 100}
+	s.Decide(f.now, p)
+	second := int(f.now.Sub(start) / time.Second)
+	for len(f.given) <= second {
+		f.given = append(f.given, 0)
+	}
+	after := f.answers(f.now, d.ID)
+	if after == 0 {
+		f.given[second]++
+		return
+	}
+	p.Seq, p.Ack, p.Len = 108, 600, 0
+	f.due = append(f.due, answerDue{at: f.now.Add(after), entry: s, p: p})
+}
+
+// well is how long a request takes on an endpoint that is well.
+func (f *hungFleet) well() time.Duration {
+	return 30*time.Millisecond + time.Duration(f.random.IntN(150))*time.Millisecond
+}
+
+var _ = Describe("endpoints that take requests and do not answer", func() {
+	const hanging = 2 // of the 14 of the failure domain
+	isHanging := func(id string) bool {
+		for n := range hanging {
+			if id == fleetReport(n*9, "").Id {
+				return true
+			}
+		}
+		return false
+	}
+
+	It("are avoided by all entries after a second, under the usual load of a large fleet", func() {
+		f := newHungFleet(30, 40)
+		f.answers = func(_ time.Time, id string) time.Duration {
+			if isHanging(id) {
+				return 0
+			}
+			return f.well()
+		}
+		f.run(12, 6)
+		before, after := 0, 0
+		for second, n := range f.given {
+			switch {
+			case second < 2:
+				before += n
+			case second < 10:
+				after += n
+			}
+		}
+		Expect(before/2).To(BeNumerically(">", 15), "a second, before the verdict")
+		Expect(after/8).To(BeNumerically("<", 6), "a second: those that try them again")
+		Expect(len(f.judged)).To(Equal(hanging), "and nobody else")
+	})
+
+	It("are tried again, and taken back once they answer", func() {
+		f := newHungFleet(30, 40)
+		f.answers = func(at time.Time, id string) time.Duration {
+			if isHanging(id) && at.Sub(start) < 5*time.Second {
+				return 0
+			}
+			return f.well()
+		}
+		f.run(30, 6)
+		for _, s := range f.entries {
+			Expect(s.avoids(f.now, s.byID[fleetReport(0, "").Id])).To(BeFalse())
+		}
+	})
+
+	It("are not found in a service that is slow as a whole, nor one that hangs as a whole", func() {
+		for _, all := range []time.Duration{3 * time.Second, 0} {
+			f := newHungFleet(30, 40)
+			f.answers = func(time.Time, string) time.Duration { return all }
+			f.run(8, 6)
+			Expect(f.judged).To(BeEmpty(), all.String())
+		}
+	})
+
+	It("are not made of long requests, one in 200 of two seconds", func() {
+		f := newHungFleet(30, 40)
+		f.answers = func(time.Time, string) time.Duration {
+			if f.random.IntN(200) == 0 {
+				return 2 * time.Second
+			}
+			return f.well()
+		}
+		f.run(20, 6)
+		Expect(f.judged).To(BeEmpty())
+	})
+
+	It("are not made of what one entry says, even beside a long request of each", func() {
+		f := newHungFleet(30, 40)
+		for n := range 40 {
+			f.report("e1", fleetReport(n, "").Id)
+		}
+		for n := range 500 {
+			f.report("liar", fleetReport(n%40, "").Id)
+		}
+		Expect(f.judged).To(BeEmpty())
+	})
+
+	It("are a third of a service at most, however many are reported", func() {
+		f := newHungFleet(2, 30)
+		for n := range 30 {
+			for range 2 {
+				f.report("a", fleetReport(n, "").Id)
+				f.report("b", fleetReport(n, "").Id)
+				f.report("c", fleetReport(n, "").Id)
+			}
+		}
+		Expect(len(f.judged)).To(Equal(10))
+	})
+
+	It("keep the flows that are open", func() {
+		f := newHungFleet(2, 30)
+		s := f.entries[0]
+		p := fleetOpening(1)
+		d := s.Decide(start, p)
+		Expect(s.TakeHung(start, d.ID)).To(BeTrue())
+		later := s.Decide(start.Add(time.Millisecond), Packet{Src: p.Src, Dst: p.Dst, Flags: Ack, Seq: 8, Ack: 1, Tag: d.Tag, Len: 10})
+		Expect(later.Action).To(Equal(Forward))
+		Expect(later.ID).To(Equal(d.ID))
+	})
+
+	It("wait as long as their route says", func() {
+		s := fleetSteerer(threeDomains(4))
+		route := routeTo(bookingAddr, "booking")
+		route.Target = time.Second
+		s.SetDocument(start, testDocument(2, route))
+		f := &flow{key: flowKey{dst: bookingAddr}}
+		Expect(s.hungAfter(f)).To(Equal(2 * time.Second))
+		f.key.dst = documentsAddr
+		Expect(s.hungAfter(f)).To(Equal(hungLeast))
+	})
+})
--- a/internal/steer/outage.go
+++ b/internal/steer/outage.go
@@ -46,7 +46,7 @@
 
 // avoids reports whether new flows avoid an endpoint, as long as there are others.
 func (s *Steerer) avoids(now time.Time, b *backend) bool {
-	if b.suspect(now) {
+	if b.suspect(now) || now.Before(b.hung.until) {
 		return true
 	}
 	o := s.outages[b.Domain]
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -46,6 +46,9 @@
 		// Tell has other entries told that an endpoint left a question without an
 		// answer; it does not wait. Nil where nobody is told.
 		Tell func(id string)
+		// Hung has it reported that an endpoint does not answer a request that it took,
+		// while others of its service do; it does not wait. Nil where nobody listens.
+		Hung func(id string)
 	}
 
 	// Steerer decides for one entry.
@@ -70,6 +73,8 @@
 		flows    map[flowKey]*flow
 		resting  *list.List            // flows, the longest at rest first
 		opening  *list.List            // flows not answered yet, the oldest first
+		awaiting []awaited             // requests, the oldest first
+		answers  map[string]*answers   // by service
 		sweepAt  time.Time             // of the next sweep
 		forgetAt time.Time             // of the next forgetEnded and forgetDropped
 		lost     map[*backend]bool     // those out of reach
@@ -96,6 +101,7 @@
 		flows:    map[flowKey]*flow{},
 		resting:  list.New(),
 		opening:  list.New(),
+		answers:  map[string]*answers{},
 		lost:     map[*backend]bool{},
 		outages:  map[string]*outage{},
 		trips:    map[string]*roundTrip{},
