A control instance that has just started has no say in who is heard

Cause: after a failure domain had lost power its control instances came back with the endpoints that their disks remembered, each with a full round to be heard again, and vouched for them: entries, which take an endpoint for silent only if every control instance does, placed new flows on incarnations that were gone for 2 s (49 questions for unanswered openings, all accepted by the next incarnation at the address, in the second after power came back).

Until it has had the time to hear everybody, which rosters say now, a control instance has a say only in who is silent; what it has not called silent counts as heard from then on. Two tests had instances that had not had the time: they now hold before and after.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -61,6 +61,13 @@
 	l.update(func(now time.Time, r *registry.Registry) { r.Merge(now, reports) })
 }
 
+// whole reports whether every endpoint has had the time to be heard.
+func (l *endpointList) whole() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.registry.Whole(l.now())
+}
+
 // changed returns the number of the last change that entries must know.
 func (l *endpointList) changed() uint64 {
 	l.mu.Lock()
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -73,9 +73,7 @@
 	case *wire.Frame_Doubt:
 		entry.takeDoubt(body.Doubt)
 	case *wire.Frame_Roster:
-		if body.Roster.Leads {
-			entry.noteLeader()
-		}
+		entry.noteState(l.address, body.Roster)
 		if body.Roster.Same {
 			l.watch.reconnect(ctx)
 		} else {
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -22,12 +22,17 @@
 	return len(e.links) > 0
 }
 
-// noteLeader notes that a control instance said that it leads.
-func (e *Entry) noteLeader() {
+// noteState notes what a control instance says of itself.
+func (e *Entry) noteState(source string, roster *wire.Roster) {
 	now := e.config.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.steerer.NoteLeader(now)
+	if roster.Leads {
+		e.steerer.NoteLeader(now)
+	}
+	if roster.Whole {
+		e.steerer.Vouch(now, source)
+	}
 }
 
 // locate takes from a roster, whose sender comes first, where the sender is.
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -11,17 +11,16 @@
 // Learn takes what a control instance, source, reports of endpoints. It returns
 // the ids of those of which that one knows something else.
 func (s *Steerer) Learn(now time.Time, source string, reports *wire.Reports) (lacking []string) {
-	heard := s.silentBy[source]
-	if heard == nil {
-		heard = map[string]bool{}
-		s.silentBy[source] = heard
+	if reports.Whole {
+		s.Vouch(now, source)
 	}
-	s.learnSame(now, heard, reports.Same)
+	t := s.tellerOf(source)
+	s.learnSame(now, t, reports.Same)
 	for _, m := range reports.Endpoints {
 		s.learn(now, registry.FromMessage(m))
 		if b := s.byID[m.Id]; b != nil {
-			heard[m.Id] = m.Silent
 			was := b.silent
+			t.say(m.Id, m.Silent)
 			s.settleSilence(now, b)
 			if was && !b.silent {
 				s.heardAgain(now, b)
@@ -30,7 +29,7 @@
 	}
 	s.whole = s.whole || reports.Whole
 	for _, m := range reports.Sums {
-		if !s.learnSum(now, heard, m) {
+		if !s.learnSum(now, t, m) {
 			lacking = append(lacking, m.Id)
 		}
 	}
@@ -39,7 +38,7 @@
 
 // learnSum takes what a control instance knows of an endpoint by its sum; it
 // reports false where this entry must ask for more.
-func (s *Steerer) learnSum(now time.Time, heard map[string]bool, m *wire.RecordSum) bool {
+func (s *Steerer) learnSum(now time.Time, t *teller, m *wire.RecordSum) bool {
 	b := s.byID[m.Id]
 	switch {
 	case b == nil:
@@ -49,8 +48,7 @@
 	case b.sum != m.Sum:
 		return false
 	}
-	if _, said := heard[m.Id]; !said {
-		heard[m.Id] = false
+	if t.mention(m.Id) {
 		s.settleSilence(now, b)
 	}
 	return true
@@ -58,13 +56,22 @@
 
 // learnSame takes that a control instance knows just what this entry knows of
 // some parts of the endpoints: those that it has not called silent it hears.
-func (s *Steerer) learnSame(now time.Time, heard map[string]bool, parts uint64) {
+func (s *Steerer) learnSame(now time.Time, t *teller, parts uint64) {
 	if parts == 0 {
 		return
 	}
 	for id, b := range s.byID {
-		if _, said := heard[id]; !said && parts&b.part != 0 {
-			heard[id] = false
+		if parts&b.part != 0 && t.mention(id) {
+			s.settleSilence(now, b)
+		}
+	}
+}
+
+// Vouch takes that a control instance, source, has had the time to hear every
+// endpoint: those that it has not called silent it hears.
+func (s *Steerer) Vouch(now time.Time, source string) {
+	for _, id := range s.tellerOf(source).vouch() {
+		if b := s.byID[id]; b != nil {
 			s.settleSilence(now, b)
 		}
 	}
@@ -76,7 +83,7 @@
 
 // Forget drops what a control instance said about silence: it is out of reach.
 func (s *Steerer) Forget(now time.Time, source string) {
-	delete(s.silentBy, source)
+	delete(s.tellers, source)
 	for _, b := range s.byID {
 		s.settleSilence(now, b)
 	}
@@ -137,8 +144,8 @@
 // settleSilence works out whether an endpoint is silent to all that know it.
 func (s *Steerer) settleSilence(now time.Time, b *backend) {
 	known, silent := 0, 0
-	for _, heard := range s.silentBy {
-		if quiet, ok := heard[b.ID]; ok {
+	for _, t := range s.tellers {
+		if quiet, ok := t.silent[b.ID]; ok {
 			known++
 			if quiet {
 				silent++
@@ -177,8 +184,8 @@
 	if b.listing != nil {
 		s.unlist(b)
 	}
-	for _, heard := range s.silentBy {
-		delete(heard, b.ID)
+	for _, t := range s.tellers {
+		t.forget(b.ID)
 	}
 	itself := func(other *backend) bool { return other == b }
 	if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
--- a/internal/steer/learn_test.go
+++ b/internal/steer/learn_test.go
@@ -43,6 +43,18 @@
 		Expect(s.byID["booking-1"].silent).To(BeFalse())
 	})
 
+	It("gives a control instance that has just started no say in who is heard, after a loss of power there", func() {
+		silent := func(m *wire.EndpointReport) { m.Silent = true }
+		s.Learn(start, "c1", reports(report("booking", 1, silent)))
+		s.Learn(start, "c2", &wire.Reports{Endpoints: []*wire.EndpointReport{report("booking", 1, nil), report("booking", 2, nil)}})
+		Expect(s.byID["booking-1"].silent).To(BeTrue())
+		Expect(s.byID["booking-2"].silent).To(BeFalse())
+		s.Learn(start, "c2", &wire.Reports{Whole: true, Endpoints: []*wire.EndpointReport{report("booking", 1, silent)}})
+		Expect(s.byID["booking-1"].silent).To(BeTrue(), "it has not heard it since")
+		s.Learn(start, "c1", reports(report("booking", 2, silent)))
+		Expect(s.byID["booking-2"].silent).To(BeFalse(), "it has had the time and has not called it silent")
+	})
+
 	It("forgets an endpoint that crashed, once no flow of its can be left, and takes it in again", func() {
 		silent := func(m *wire.EndpointReport) { m.Silent = true }
 		s.Learn(start, "c1", reports(report("booking", 1, silent)))
@@ -69,6 +81,8 @@
 		s.Learn(start, "c2", reports(report("booking", 1, silent)))
 		s.Learn(start, "c3", &wire.Reports{Same: ^uint64(0), Endpoints: []*wire.EndpointReport{report("booking", 2, silent)}})
 		s.Forget(start, "c1")
+		Expect(s.byID["booking-1"].silent).To(BeTrue(), "c3 has just started and may know it from before")
+		s.Vouch(start, "c3")
 		Expect(s.byID["booking-1"].silent).To(BeFalse(), "c3 hears it")
 		Expect(s.byID["booking-2"].silent).To(BeTrue(), "nobody but c3 knows it now")
 		s.Forget(start, "c3")
@@ -89,6 +103,8 @@
 		s.Learn(start, "c1", reports(report("booking", 4, func(m *wire.EndpointReport) { m.Silent = true })))
 		Expect(s.byID["booking-4"].silent).To(BeTrue())
 		Expect(s.Learn(start, "c2", brief)).To(BeEmpty())
+		Expect(s.byID["booking-4"].silent).To(BeTrue(), "c2 has just started")
+		s.Vouch(start, "c2")
 		Expect(s.byID["booking-4"].silent).To(BeFalse(), "c2 knows it and has not called it silent")
 	})
 
--- a/internal/steer/reach_test.go
+++ b/internal/steer/reach_test.go
@@ -246,8 +246,8 @@
 		s.Learn(now, "c1", reports(report("booking", 9, func(m *wire.EndpointReport) { m.Address = b.Addr.String() })))
 		Expect(append(stall(Unacked), stall(Unacked)...)).To(BeEmpty(), "it is not silent: the other one is the one that may have ended")
 
-		for _, h := range s.silentBy {
-			h[b.ID] = true
+		for _, t := range s.tellers {
+			t.silent[b.ID] = true
 		}
 		s.settleSilence(now, b)
 		Expect(s.superseded(b)).To(BeTrue())
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -66,7 +66,7 @@
 		byTag     map[uint32]*backend
 		byAddr    map[netip.AddrPort][]*backend // the incarnations that claim each address
 		pools     map[string]*pool              // by service
-		silentBy  map[string]map[string]bool    // by control instance, then endpoint
+		tellers   map[string]*teller            // by control instance
 		whole     bool                          // a control instance has reported every endpoint
 		digest    registry.Digest               // of byID
 
@@ -91,22 +91,22 @@
 func New(c Config) *Steerer {
 	source, random := newDraws()
 	return &Steerer{
-		config:   c,
-		dropped:  map[netip.AddrPort]time.Time{},
-		byID:     map[string]*backend{},
-		byTag:    map[uint32]*backend{},
-		byAddr:   map[netip.AddrPort][]*backend{},
-		pools:    map[string]*pool{},
-		silentBy: map[string]map[string]bool{},
-		flows:    map[flowKey]*flow{},
-		resting:  list.New(),
-		opening:  list.New(),
-		answers:  map[string]*answers{},
-		lost:     map[*backend]bool{},
-		outages:  map[string]*outage{},
-		trips:    map[string]*roundTrip{},
-		source:   source,
-		random:   random,
+		config:  c,
+		dropped: map[netip.AddrPort]time.Time{},
+		byID:    map[string]*backend{},
+		byTag:   map[uint32]*backend{},
+		byAddr:  map[netip.AddrPort][]*backend{},
+		pools:   map[string]*pool{},
+		tellers: map[string]*teller{},
+		flows:   map[flowKey]*flow{},
+		resting: list.New(),
+		opening: list.New(),
+		answers: map[string]*answers{},
+		lost:    map[*backend]bool{},
+		outages: map[string]*outage{},
+		trips:   map[string]*roundTrip{},
+		source:  source,
+		random:  random,
 	}
 }
 
