Answers that are short for their route count against their endpoint

Cause: an endpoint that answers errors while it says that it is well takes its share of the flows.

An entry learns the usual size of a route's answers, by logarithm; one that is three deviations below is reported like a request that hangs, and judged by three entries. Where three in ten are short the route itself has changed, and the usual size follows.

--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -17,20 +17,21 @@
 // flow is what an entry remembers of a flow for balance and for copies of
 // its opening packet; steering needs no record.
 type flow struct {
-	key     flowKey
-	backend *backend
-	first   uint32 // seq of the opening packet
-	opened  time.Time
-	seen    time.Time
-	open    bool          // the caller went on
-	moved   bool          // copies went to two endpoints
-	busy    bool          // a request waits for its answer
-	asked   uint32        // seq after the last request
-	askedAt time.Time     // when its last packet came first
-	acked   uint32        // ack of the last packet
-	resting *list.Element // of Steerer.resting
-	copied  bool          // this entry saw no copy before a later one
-	opening *list.Element // of Steerer.opening, nil once the flow is answered or counted
+	key        flowKey
+	backend    *backend
+	first      uint32 // seq of the opening packet
+	opened     time.Time
+	seen       time.Time
+	open       bool          // the caller went on
+	moved      bool          // copies went to two endpoints
+	busy       bool          // a request waits for its answer
+	asked      uint32        // seq after the last request
+	askedAt    time.Time     // when its last packet came first
+	acked      uint32        // ack of the last packet
+	answerFrom uint32        // ack when the last request went in
+	resting    *list.Element // of Steerer.resting
+	copied     bool          // this entry saw no copy before a later one
+	opening    *list.Element // of Steerer.opening, nil once the flow is answered or counted
 }
 
 // remember begins the record of a flow that was placed.
@@ -76,6 +77,9 @@
 	if !f.open && b != nil {
 		s.settle(now, f, b)
 	}
+	if p.Flags.Has(Fin) {
+		s.noteSize(now, f, p.Ack)
+	}
 	if p.Flags.Has(Fin) || p.Flags.Has(Rst) {
 		s.end(f)
 		return
@@ -90,7 +94,8 @@
 		return
 	}
 	if end := p.Seq + uint32(p.Len); int32(end-f.asked) > 0 {
-		f.asked, f.askedAt = end, now
+		s.noteSize(now, f, p.Ack)
+		f.asked, f.askedAt, f.answerFrom = end, now, p.Ack
 		f.setBusy(true)
 		s.awaitAnswer(f)
 	} else if f.busy && now.Sub(f.askedAt) >= answerWithin { // sooner, packets have only overtaken each other
--- a/internal/steer/hung.go
+++ b/internal/steer/hung.go
@@ -116,12 +116,19 @@
 	b, counts := a.flow.backend, s.answersOf(a.flow)
 	outlier := counts.outlies(a.peers)
 	counts.late++
-	if !outlier || now.Before(b.hung.reportAt) || s.config.Hung == nil {
-		return true
+	if outlier {
+		s.reportOutlier(now, b)
+	}
+	return true
+}
+
+// reportOutlier reports an endpoint, unless that was done a moment ago.
+func (s *Steerer) reportOutlier(now time.Time, b *backend) {
+	if s.config.Hung == nil || now.Before(b.hung.reportAt) {
+		return
 	}
 	b.hung.reportAt = now.Add(hungAgainAfter)
 	s.config.Hung(b.ID)
-	return true
 }
 
 // hungAfter returns how long a request of a flow waits before it counts as hung.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -71,18 +71,19 @@
 		digest    registry.Digest               // of byID
 
 		flows    map[flowKey]*flow
-		resting  *list.List            // flows, the longest at rest first
-		opening  *list.List            // flows not answered yet, the oldest first
-		awaiting []awaited             // requests, the oldest first
-		answers  map[string]*answers   // by service
-		sweepAt  time.Time             // of the next sweep
-		forgetAt time.Time             // of the next forgetEnded and forgetDropped
-		lost     map[*backend]bool     // those out of reach
-		outages  map[string]*outage    // by failure domain of endpoints
-		ledAt    time.Time             // when a control instance last said that it leads
-		trips    map[string]*roundTrip // by failure domain of endpoints
-		lifeAt   time.Time             // when any endpoint was last seen to answer
-		source   *rand.PCG             // of random; seeded for each flow that is placed
+		resting  *list.List                // flows, the longest at rest first
+		opening  *list.List                // flows not answered yet, the oldest first
+		awaiting []awaited                 // requests, the oldest first
+		answers  map[string]*answers       // by service
+		sizes    map[netip.AddrPort]*sizes // of answers, by address of the route
+		sweepAt  time.Time                 // of the next sweep
+		forgetAt time.Time                 // of the next forgetEnded and forgetDropped
+		lost     map[*backend]bool         // those out of reach
+		outages  map[string]*outage        // by failure domain of endpoints
+		ledAt    time.Time                 // when a control instance last said that it leads
+		trips    map[string]*roundTrip     // by failure domain of endpoints
+		lifeAt   time.Time                 // when any endpoint was last seen to answer
+		source   *rand.PCG                 // of random; seeded for each flow that is placed
 		random   *rand.Rand
 	}
 )
@@ -102,6 +103,7 @@
 		resting: list.New(),
 		opening: list.New(),
 		answers: map[string]*answers{},
+		sizes:   map[netip.AddrPort]*sizes{},
 		lost:    map[*backend]bool{},
 		outages: map[string]*outage{},
 		trips:   map[string]*roundTrip{},
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -52,6 +52,7 @@
 	for addr, at := range s.dropped {
 		if now.Sub(at) >= s.config.MaxFlow {
 			delete(s.dropped, addr)
+			delete(s.sizes, addr)
 		}
 	}
 }
