--- a/internal/steer/backend.go
+++ b/internal/steer/backend.go
@@ -50,6 +50,7 @@
 
 	reach   reach
 	hung    hung
+	answers *answers // of its service
 	listing *listing // nil while new flows may not go to it
 }
 
--- a/internal/steer/hung.go
+++ b/internal/steer/hung.go
@@ -16,6 +16,9 @@
 	// day's worth was lost.
 	peersAnswered = 3
 	peersPart     = 3
+	// awaitMost bounds the requests that are watched: 20 times as many as an entry of
+	// 6,800 is sent in hungLeast. Those beyond it are not judged.
+	awaitMost = 4000
 	// hungAgainAfter bounds how often this entry reports an endpoint.
 	hungAgainAfter = 500 * time.Millisecond
 	// hungFirst and hungMost bound how long new flows avoid an endpoint that several
@@ -54,7 +57,9 @@
 
 // awaitAnswer notes that a request of a flow went in.
 func (s *Steerer) awaitAnswer(f *flow) {
-	s.awaiting = append(s.awaiting, awaited{f, f.askedAt, *s.answersOf(f)})
+	if len(s.awaiting) < awaitMost {
+		s.awaiting = append(s.awaiting, awaited{f, f.askedAt, *s.answersOf(f.backend)})
+	}
 }
 
 // noteAnswer notes that the answer of a flow's request begins, if one waits.
@@ -62,20 +67,23 @@
 	switch {
 	case !f.busy:
 	case now.Sub(f.askedAt) <= s.hungAfter(f)/hungTargets:
-		s.answersOf(f).inTime++
+		s.answersOf(f.backend).inTime++
 	default:
-		s.answersOf(f).late++
+		s.answersOf(f.backend).late++
 	}
 }
 
-// answersOf returns the counts of a flow's service.
-func (s *Steerer) answersOf(f *flow) *answers {
-	a := s.answers[f.backend.Service]
-	if a == nil {
-		a = &answers{}
-		s.answers[f.backend.Service] = a
+// answersOf returns the counts of an endpoint's service, which the endpoint keeps at
+// hand: a look into a map takes as long as all else that a packet costs.
+func (s *Steerer) answersOf(b *backend) *answers {
+	if b.answers != nil {
+		return b.answers
+	}
+	if s.answers[b.Service] == nil {
+		s.answers[b.Service] = &answers{}
 	}
-	return a
+	b.answers = s.answers[b.Service]
+	return b.answers
 }
 
 // outlies reports whether the rest of the service answered well since a request went in.
@@ -113,7 +121,8 @@
 	if now.Sub(a.asked) < s.hungAfter(a.flow) {
 		return false
 	}
-	b, counts := a.flow.backend, s.answersOf(a.flow)
+	b := a.flow.backend
+	counts := s.answersOf(b)
 	outlier := counts.outlies(a.peers)
 	counts.late++
 	if outlier {
--- a/internal/steer/hung_test.go
+++ b/internal/steer/hung_test.go
@@ -211,6 +211,17 @@
 		Expect(later.ID).To(Equal(d.ID))
 	})
 
+	It("are watched up to a bound, and none is kept for longer than it counts", func() {
+		s := fleetSteerer(threeDomains(4))
+		f := &flow{key: flowKey{dst: bookingAddr}, backend: s.byID[fleetReport(0, "").Id], askedAt: start, busy: true}
+		for range 2 * awaitMost {
+			s.awaitAnswer(f)
+		}
+		Expect(s.awaiting).To(HaveLen(awaitMost))
+		s.reportHung(start.Add(s.hungAfter(f)))
+		Expect(s.awaiting).To(BeEmpty())
+	})
+
 	It("wait as long as their route says", func() {
 		s := fleetSteerer(threeDomains(4))
 		route := routeTo(bookingAddr, "booking")
