--- a/internal/node/evacuate_test.go
+++ b/internal/node/evacuate_test.go
@@ -16,18 +16,9 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// evacuate sends an order to one instance after the other until one acknowledges it.
+// evacuate sends an order until it is acknowledged.
 func (f controlFleet) evacuate(o evacuation.Order) {
-	for {
-		for _, r := range f {
-			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-			_, err := r.Evacuate(ctx, o)
-			cancel()
-			if err == nil {
-				return
-			}
-		}
-	}
+	f.untilTaken(func(ctx context.Context, r *runningControl) (string, error) { return r.Evacuate(ctx, o) })
 }
 
 var _ = ginkgo.Describe("an evacuation", func() {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -108,14 +108,18 @@
 	return f[slices.IndexFunc(f, func(r *runningControl) bool { return r != leader })]
 }
 
-// order offers a document to one instance after the other until one
-// acknowledges it.
+// order offers a document until it is acknowledged.
 func (f controlFleet) order(version uint64) {
 	doc, _ := document.New(document.Config{Version: version})
+	f.untilTaken(func(ctx context.Context, r *runningControl) (string, error) { return r.Put(ctx, doc) })
+}
+
+// untilTaken asks one instance after the other until one acknowledges.
+func (f controlFleet) untilTaken(ask func(ctx context.Context, r *runningControl) (elsewhere string, err error)) {
 	for {
 		for _, r := range f {
 			ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-			_, err := r.Put(ctx, doc)
+			_, err := ask(ctx, r)
 			cancel()
 			if err == nil {
 				return
--- a/internal/node/questions.go
+++ b/internal/node/questions.go
@@ -19,9 +19,26 @@
 	questionsAtOnce = 32
 )
 
-// Knock reports whether a connection to an address is accepted in time; it is
-// closed at once, and carries nothing.
-type Knock func(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool
+type (
+	// Knock reports whether a connection to an address is accepted in time; it is
+	// closed at once, and carries nothing.
+	Knock func(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool
+
+	// questionRun settles one question beside others.
+	questionRun struct {
+		entry    *Entry
+		conn     *net.UDPConn // that resets are sent by
+		question steer.Question
+		free     <-chan struct{} // holds a value for each question that is under way
+	}
+
+	// attemptedKnock is the connection that one question attempts.
+	attemptedKnock struct {
+		knock    Knock
+		question steer.Question
+		accepted chan<- bool
+	}
+)
 
 // KnockTCP is the Knock that processes use.
 func KnockTCP(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool {
@@ -54,19 +71,27 @@
 			return ctx.Err()
 		case q := <-e.questions:
 			free <- struct{}{}
-			go func() {
-				e.settleQuestion(ctx, conn, q)
-				<-free
-			}()
+			go questionRun{e, conn, q, free}.run(ctx)
 		}
 	}
 }
 
+// run settles the question and makes room for the next one.
+func (r questionRun) run(ctx context.Context) {
+	r.entry.settleQuestion(ctx, r.conn, r.question)
+	<-r.free
+}
+
+// run knocks once.
+func (a attemptedKnock) run(ctx context.Context) {
+	a.accepted <- a.knock(ctx, a.question.Addr, a.question.Within)
+}
+
 // put asks one question and returns what came of it. A refusal comes at once;
 // the time shows whether other endpoints answer meanwhile.
 func (e *Entry) put(ctx context.Context, q steer.Question) steer.Outcome {
 	accepted := make(chan bool, 1)
-	go func() { accepted <- e.config.Knock(ctx, q.Addr, q.Within) }()
+	go attemptedKnock{e.config.Knock, q, accepted}.run(ctx)
 	ticker := time.NewTicker(questionTick)
 	defer ticker.Stop()
 	began := e.config.Now()
--- a/internal/node/redial.go
+++ b/internal/node/redial.go
@@ -18,10 +18,25 @@
 	redialAfter = 20 * time.Millisecond
 )
 
-// redial paces the attempts at one address.
-type redial struct {
-	timeout time.Duration // of the next attempt, 0 for dialEvery
-}
+type (
+	// redial paces the attempts at one address.
+	redial struct {
+		timeout time.Duration // of the next attempt, 0 for dialEvery
+	}
+
+	// dialAttempt is one of several attempts beside each other.
+	dialAttempt struct {
+		dial    Dialer
+		address string
+		done    chan<- dialed
+	}
+
+	// dialed is what came of an attempt.
+	dialed struct {
+		conn net.Conn
+		err  error
+	}
+)
 
 // dial opens a connection. Where nobody else is linked, attempts overlap: the
 // first one that is answered counts. Otherwise one is made, for twice as long as
@@ -43,12 +58,8 @@
 
 // dialOverlapping makes attempts beside each other for dialMost in all.
 func dialOverlapping(ctx context.Context, dial Dialer, address string) (net.Conn, error) {
-	type attempt struct {
-		conn net.Conn
-		err  error
-	}
 	ctx, cancel := context.WithTimeout(ctx, dialMost)
-	attempts := make(chan attempt)
+	attempts := make(chan dialed)
 	pending := 0
 	defer func() {
 		cancel()
@@ -58,10 +69,7 @@
 	defer next.Stop()
 	begin := func() {
 		pending++
-		go func() {
-			conn, err := dial(ctx, address, dialMost)
-			attempts <- attempt{conn, err}
-		}()
+		go dialAttempt{dial, address, attempts}.run(ctx)
 	}
 	begin()
 	for {
@@ -79,6 +87,12 @@
 	}
 }
 
+// run makes the attempt and tells what came of it.
+func (a dialAttempt) run(ctx context.Context) {
+	conn, err := a.dial(ctx, a.address, dialMost)
+	a.done <- dialed{conn, err}
+}
+
 // closeLate closes the connections of attempts that another one has overtaken.
 func closeLate(pending int, next func() net.Conn) {
 	for range pending {
