An endpoint became cold again by what it says, not by when that is heard

A cold time that ended 0.3 s later than said before counted as cold again, and a heartbeat that waits for a busy control instance seems to say so: each has all entries told, on every link. Now what the endpoint says is compared with what it said last. The test has a heartbeat that waited; it failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -18,8 +18,8 @@
 	// forgetBeats is how many periods after its last heartbeat a record is
 	// dropped: a flow's longest life of 60 s at a period of 0.77 s.
 	forgetBeats = 80
-	// coolingAfter is by how much the end of an endpoint's cold time must move for
-	// it to have become cold again: more than the spread of its heartbeats' ways.
+	// coolingAfter is by how much longer an endpoint must say that it is cold than it said
+	// last to have become cold again: more than the error in what peers tell of that.
 	coolingAfter = 300 * time.Millisecond
 )
 
@@ -103,8 +103,8 @@
 		return max(held.changed, held.peersChanged), false
 	}
 	r.number++
-	cooled := held != nil && r.cooled(now.Add(-age), held, e)
-	changed := held == nil || cooled || material(held.endpoint, e)
+	again := held != nil && cooled(held, e)
+	changed := held == nil || again || material(held.endpoint, e)
 	if held == nil {
 		held = &record{}
 		r.records[e.ID] = held
@@ -114,7 +114,7 @@
 	if held.endpoint.Addr != e.Addr {
 		r.vacate(held)
 	}
-	if cooled {
+	if again {
 		held.viewChanged = r.number
 	}
 	held.endpoint = e
@@ -135,11 +135,11 @@
 	return r.number, true
 }
 
-// cooled reports whether an incarnation that is heard at a time says that it stays
-// cold for longer than what it said last: it became cold again.
-func (r *Registry) cooled(heard time.Time, held *record, e Endpoint) bool {
-	return heard.Add(e.Warm).Sub(held.heard.Add(held.endpoint.Warm)) > coolingAfter && e.Warm > 0
-}
+// cooled reports whether an incarnation became cold again: it says that it stays cold for
+// longer than it said last. What it says is compared, and not when that was heard: of
+// heartbeats that wait for a busy control instance each would seem to say so, and have every
+// entry told, which makes it busier.
+func cooled(held *record, e Endpoint) bool { return e.Warm > held.endpoint.Warm+coolingAfter }
 
 // cold reports whether an endpoint said that it is still cold.
 func (held *record) cold(now time.Time) bool {
--- a/internal/registry/reports_test.go
+++ b/internal/registry/reports_test.go
@@ -68,7 +68,8 @@
 		r.Hear(start, endpoint("a", 1, warm(2*beat)))
 		before := r.Changed()
 		r.Hear(start.Add(beat), endpoint("a", 2, warm(beat+beat/10)))
-		r.Hear(start.Add(2*beat), endpoint("a", 3, nil))
+		r.Hear(start.Add(2*beat-time.Millisecond), endpoint("a", 3, warm(beat/2))) // waited for a busy control instance
+		r.Hear(start.Add(2*beat), endpoint("a", 4, nil))
 		Expect(r.Changed()).To(Equal(before))
 		now := start.Add(5 * beat)
 		r.Hear(now, endpoint("a", 6, warm(2*beat)))
