What is said of endpoints that fail requests covers errors; a roster is made once; one name for a reporter

Read again as a whole: since short answers count too, log lines, why flow and comments that spoke of answers that are waited for alone were wrong for half of the cases.

--- a/internal/node/doubts.go
+++ b/internal/node/doubts.go
@@ -40,7 +40,7 @@
 }
 
 // takeDoubt has an endpoint asked that another entry missed an answer of, or new
-// flows avoid one that several entries wait for.
+// flows avoid one that several entries say fails requests.
 func (e *Entry) takeDoubt(d *wire.Doubt) {
 	now := e.config.Now()
 	e.mu.Lock()
@@ -48,13 +48,13 @@
 	if !d.Hung {
 		e.steerer.Doubted(now, d.Id)
 	} else if e.steerer.TakeHung(now, d.Id) {
-		e.config.Log.Warn("endpoint avoided", "endpoint", d.Id, "why", "several entries wait for its answers")
+		e.config.Log.Warn("endpoint avoided", "endpoint", d.Id, "why", "several entries say that it fails requests")
 	}
 }
 
 // takeDoubt takes what an entry says of an endpoint. Others are told at once that it
-// left a question without an answer, which each asks again by itself; that it does
-// not answer requests only once several entries have said so.
+// left a question without an answer, which each asks again by itself; that it fails
+// requests that it took only once several entries have said so.
 func (c *Control) takeDoubt(from *entryFeed, d *wire.Doubt) {
 	if !d.Hung {
 		c.entries.spread(from, d)
@@ -65,7 +65,7 @@
 	verdict := c.outliers.Report(now, d.Id, from.name)
 	c.judging.Unlock()
 	if verdict {
-		c.config.Log.Warn("endpoint does not answer requests", "endpoint", d.Id, "entry", from.name)
+		c.config.Log.Warn("endpoint fails requests", "endpoint", d.Id, "entry", from.name)
 		c.entries.spread(nil, d)
 	}
 }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -137,11 +137,10 @@
 // between failure domains on a calm day of 89 entries.
 func (f *entryFeed) sendRoster() error {
 	roster := f.control.roster.Load().roster
-	told := &wire.Roster{Instances: roster.Instances, Voters: roster.Voters, Leader: roster.Leader}
-	if f.listed != nil && namesSame(f.listed, roster) {
-		told = &wire.Roster{Same: true}
-	} else {
+	told := &wire.Roster{Same: true}
+	if f.listed == nil || !namesSame(f.listed, roster) {
 		f.listed = roster
+		told = &wire.Roster{Instances: roster.Instances, Voters: roster.Voters, Leader: roster.Leader}
 	}
 	told.Leads, told.Whole = roster.Leads, f.control.endpoints.whole()
 	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: told}})
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -1,5 +1,5 @@
 // Package outlier decides, from what entries report of endpoints that take requests
-// and do not answer them, which endpoints new flows avoid. A large fleet's entry sees a
+// and do not answer them, or by errors, which endpoints new flows avoid. A large fleet's entry sees a
 // request of an endpoint every ten seconds, so that none can tell alone. The package
 // has no I/O; now is an argument. One goroutine at a time uses a Tracker.
 package outlier
@@ -39,7 +39,7 @@
 // New returns a Tracker that has heard nothing.
 func New() *Tracker { return &Tracker{reports: map[string][]report{}} }
 
-// Report takes that an entry waits for an endpoint, and reports whether that makes
+// Report takes that an endpoint failed a request of an entry, and reports whether that makes
 // enough for others to avoid it. After a verdict it takes as many reports again.
 func (t *Tracker) Report(now time.Time, endpoint, entry string) bool {
 	t.forget(now)
--- a/internal/steer/explain.go
+++ b/internal/steer/explain.go
@@ -139,7 +139,7 @@
 func (s *Steerer) verdict(now time.Time, b *backend, bulk bool) string {
 	verdict := b.verdict(now, s.config.Domain, bulk)
 	if now.Before(b.hung.until) {
-		verdict += fmt.Sprintf(", avoided for %s: several entries wait for answers to requests that it took", b.hung.until.Sub(now).Round(time.Millisecond))
+		verdict += fmt.Sprintf(", avoided for %s: several entries say that it left requests without an answer, or answered errors", b.hung.until.Sub(now).Round(time.Millisecond))
 	}
 	if b.open() && s.reserved(now, b) {
 		verdict += fmt.Sprintf(", takes no new flow before it is warm in %s: it carries too few a second then", b.warmUntil.Sub(now).Round(time.Millisecond))
--- a/internal/steer/hung.go
+++ b/internal/steer/hung.go
@@ -31,7 +31,8 @@
 	hungShare = 3
 )
 
-// hung is what an entry knows of an endpoint that takes requests and does not answer.
+// hung is what an entry knows of an endpoint that takes requests and does not answer, or
+// answers errors.
 type hung struct {
 	reportAt time.Time // no report before
 	until    time.Time // new flows avoid it
@@ -148,8 +149,8 @@
 	return hungLeast
 }
 
-// TakeHung takes that several entries wait for answers of an endpoint: new flows avoid
-// it for a while. Flows that are open stay. It reports whether they do from now on.
+// TakeHung takes that several entries say that an endpoint fails requests that it took:
+// new flows avoid it for a while. Flows that are open stay. It reports whether they do from now on.
 func (s *Steerer) TakeHung(now time.Time, id string) bool {
 	b := s.byID[id]
 	if b == nil || now.Before(b.hung.until) || !s.spares(now, b) {
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -14,13 +14,13 @@
 	if reports.Whole {
 		s.Vouch(now, source)
 	}
-	t := s.reporterOf(source)
-	s.learnSame(now, t, reports.Same)
+	r := s.reporterOf(source)
+	s.learnSame(now, r, reports.Same)
 	for _, m := range reports.Endpoints {
 		s.learn(now, registry.FromMessage(m))
 		if b := s.byID[m.Id]; b != nil {
 			was := b.silent
-			t.say(m.Id, m.Silent)
+			r.say(m.Id, m.Silent)
 			s.settleSilence(now, b)
 			if was && !b.silent {
 				s.heardAgain(now, b)
@@ -29,7 +29,7 @@
 	}
 	s.whole = s.whole || reports.Whole
 	for _, m := range reports.Sums {
-		if !s.learnSum(now, t, m) {
+		if !s.learnSum(now, r, m) {
 			lacking = append(lacking, m.Id)
 		}
 	}
@@ -38,7 +38,7 @@
 
 // learnSum takes what a control instance knows of an endpoint by its sum; it
 // reports false where this entry must ask for more.
-func (s *Steerer) learnSum(now time.Time, t *reporter, m *wire.RecordSum) bool {
+func (s *Steerer) learnSum(now time.Time, r *reporter, m *wire.RecordSum) bool {
 	b := s.byID[m.Id]
 	switch {
 	case b == nil:
@@ -48,7 +48,7 @@
 	case b.sum != m.Sum:
 		return false
 	}
-	if t.mention(m.Id) {
+	if r.mention(m.Id) {
 		s.settleSilence(now, b)
 	}
 	return true
@@ -56,12 +56,12 @@
 
 // learnSame takes that a control instance knows just what this entry knows of
 // some parts of the endpoints: those that it has not called silent it hears.
-func (s *Steerer) learnSame(now time.Time, t *reporter, parts uint64) {
+func (s *Steerer) learnSame(now time.Time, r *reporter, parts uint64) {
 	if parts == 0 {
 		return
 	}
 	for id, b := range s.byID {
-		if parts&b.part != 0 && t.mention(id) {
+		if parts&b.part != 0 && r.mention(id) {
 			s.settleSilence(now, b)
 		}
 	}
@@ -144,8 +144,8 @@
 // settleSilence works out whether an endpoint is silent to all that know it.
 func (s *Steerer) settleSilence(now time.Time, b *backend) {
 	known, silent := 0, 0
-	for _, t := range s.reporters {
-		if quiet, ok := t.silent[b.ID]; ok {
+	for _, r := range s.reporters {
+		if quiet, ok := r.silent[b.ID]; ok {
 			known++
 			if quiet {
 				silent++
@@ -184,8 +184,8 @@
 	if b.listing != nil {
 		s.unlist(b)
 	}
-	for _, t := range s.reporters {
-		t.forget(b.ID)
+	for _, r := range s.reporters {
+		r.forget(b.ID)
 	}
 	itself := func(other *backend) bool { return other == b }
 	if s.byAddr[b.Addr] = slices.DeleteFunc(s.byAddr[b.Addr], itself); len(s.byAddr[b.Addr]) == 0 {
--- a/internal/steer/reporter.go
+++ b/internal/steer/reporter.go
@@ -12,12 +12,12 @@
 
 // reporterOf returns what a control instance says.
 func (s *Steerer) reporterOf(source string) *reporter {
-	t := s.reporters[source]
-	if t == nil {
-		t = &reporter{silent: map[string]bool{}, unsure: map[string]bool{}}
-		s.reporters[source] = t
+	r := s.reporters[source]
+	if r == nil {
+		r = &reporter{silent: map[string]bool{}, unsure: map[string]bool{}}
+		s.reporters[source] = r
 	}
-	return t
+	return r
 }
 
 // say takes whether it calls an endpoint silent.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -47,7 +47,8 @@
 		// answer; it does not wait. Nil where nobody is told.
 		Tell func(id string)
 		// Hung has it reported that an endpoint does not answer a request that it took,
-		// while others of its service do; it does not wait. Nil where nobody listens.
+		// or by an error, while others of its service answer; it does not wait. Nil
+		// where nobody listens.
 		Hung func(id string)
 	}
 
