--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -73,7 +73,7 @@
 	}
 	entry := node.NewEntry(node.EntryConfig{
 		Name: s.Name, Domain: s.Domain, Packets: s.Packets, Operators: s.Operators, Seeds: s.Seeds,
-		MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
+		Losses: s.Losses, MaxFlow: s.MaxFlow, Grace: s.Grace, Beat: s.Beat,
 		Codec: node.Codec{Decode: platform.DecodePacket, Forward: platform.ForwardPacket, Reset: platform.ResetPacket},
 		Dial:  node.DialTCP, Knock: node.KnockTCP, Log: p.log, Now: node.SteadyClock(),
 	})
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -55,6 +55,7 @@
 		entries   *entryList
 		timings   controlTimings
 		peers     *peerLinks
+		doubts    *doubtBoard
 		judging   sync.Mutex // held while outliers is used
 		outliers  *outlier.Tracker
 
@@ -75,8 +76,9 @@
 	control := &Control{
 		config: c, calls: make(chan func(time.Time), queue), waiting: map[uint64]chan bool{},
 		endpoints: newEndpointList(c), entries: newEntryList(c.Now), timings: newControlTimings(),
-		outliers: outlier.New(),
+		outliers: outlier.New(), doubts: newDoubtBoard(c.Now),
 	}
+	control.endpoints.setRelay(false) // until it votes
 	control.firstList = &firstList{endpoints: control.endpoints}
 	control.audience = &audience{now: c.Now}
 	control.status.Store(&madeStatus{})
@@ -96,6 +98,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return links.run(ctx) })
 	group.Go(func() error { return c.endpoints.loop(ctx) })
+	for _, b := range []*batches{c.endpoints.whole, c.endpoints.brief, c.endpoints.peers} {
+		group.Go(func() error { return b.loop(ctx) })
+	}
+	group.Go(func() error { return c.doubtLoop(ctx) })
 	group.Go(func() error { return c.loop(ctx) })
 	group.Go(func() error { return c.hintsLoop(ctx) })
 	group.Go(func() error { return c.announceLoop(ctx) })
@@ -194,6 +200,9 @@
 	if status.Role != last.Role || status.Leader != last.Leader || status.Term != last.Term {
 		c.config.Log.Info("log role", "id", status.Self, "role", status.Role, "leader", status.Leader, "term", status.Term, "commit", status.Commit)
 	}
+	if votes := slices.Contains(status.Voters, status.Self); votes != slices.Contains(last.Voters, last.Self) {
+		c.endpoints.setRelay(votes)
+	}
 	if !slices.Equal(status.Voters, last.Voters) {
 		c.config.Log.Info("voters", "voters", status.Voters, "before", last.Voters)
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -13,9 +13,10 @@
 // endpointList is the registry of a control instance with what the others
 // have confirmed to hold of it.
 type endpointList struct {
-	now      func() time.Time
-	changes  notifier // a change that entries must know
-	receipts notifier // somebody confirmed something
+	now                 func() time.Time
+	changes             notifier // a change that entries must know
+	receipts            notifier // somebody confirmed something
+	whole, brief, peers *batches // of what entries and other control instances are told
 
 	mu        sync.Mutex
 	registry  *registry.Registry
@@ -23,13 +24,22 @@
 }
 
 func newEndpointList(c ControlConfig) *endpointList {
-	changed := func(e registry.Endpoint, silent bool, age time.Duration) {
-		c.Log.Info("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Addr, "domain", e.Domain, "sequence", e.Sequence,
-			"leaving", e.Leaving, "gone", e.Gone, "silent", silent, "age", age)
-	}
-	return &endpointList{
-		now: c.Now, registry: registry.New(registry.Config{Beat: c.Beat, Changed: changed}, c.Now()), confirmed: map[string]uint64{},
+	lines := &endpointLines{log: c.Log}
+	l := &endpointList{
+		now: c.Now, registry: registry.New(registry.Config{Beat: c.Beat, Changed: lines.changed}, c.Now()), confirmed: map[string]uint64{},
 	}
+	l.whole = &batches{gap: feedGap, changes: &l.changes, reports: l.changesAfter, empty: nothingTold}
+	l.brief = &batches{gap: briefGap, changes: &l.changes, reports: l.changesBrieflyAfter, empty: nothingTold}
+	// Other control instances take the frame of a calm time for a sign of life.
+	l.peers = &batches{gap: peerGap, every: frameEvery, changes: &l.changes, reports: l.beatsAfter, empty: func(*wire.Reports) bool { return false }}
+	return l
+}
+
+// setRelay has other control instances told on of what they told, or not.
+func (l *endpointList) setRelay(relays bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.registry.SetRelay(relays)
 }
 
 // update changes the registry and wakes the senders if entries must know.
@@ -61,8 +71,8 @@
 	l.update(func(now time.Time, r *registry.Registry) { r.Merge(now, reports) })
 }
 
-// whole reports whether every endpoint has had the time to be heard.
-func (l *endpointList) whole() bool {
+// allHeard reports whether every endpoint has had the time to be heard.
+func (l *endpointList) allHeard() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.registry.Whole(l.now())
@@ -147,16 +157,35 @@
 	return n
 }
 
+// view returns what an entry is told that begins to be told briefly.
+func (l *endpointList) view() *wire.Reports {
+	return l.read(func(now time.Time, r *registry.Registry) *wire.Reports { return r.View(now) })
+}
+
 // loop looks for silent endpoints until the context ends.
 func (l *endpointList) loop(ctx context.Context) error {
 	ticker := time.NewTicker(frameEvery)
 	defer ticker.Stop()
+	last := l.now()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			l.update(func(now time.Time, r *registry.Registry) { r.Sweep(now) })
+			now := l.now()
+			l.sweep(now.Sub(last))
+			last = now
 		}
 	}
 }
+
+// sweep looks for silent endpoints, a span after it did so last. What of it this process
+// was late says nothing of them.
+func (l *endpointList) sweep(since time.Duration) {
+	l.update(func(now time.Time, r *registry.Registry) {
+		if late := since - frameEvery; late > frameEvery {
+			r.Excuse(late)
+		}
+		r.Sweep(now)
+	})
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -40,6 +40,7 @@
 		Operators netip.AddrPort
 		Seeds     []netip.AddrPort // peer addresses of control instances
 		MaxFlow   time.Duration    // no flow is older
+		Losses    int              // control instances whose loss at once is borne
 		Grace     time.Duration    // a planned stop must end within it
 		Beat      time.Duration    // heartbeat period of endpoints
 		Codec     Codec
--- a/internal/node/entrylink.go
+++ b/internal/node/entrylink.go
@@ -7,27 +7,31 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// entryLink is the link of an entry to one control instance.
+// entryLink is the link of an entry to one control instance. First the instance says
+// which there are; what else it tells it tells once the link is used.
 type entryLink struct {
 	watch   *watch
 	address string
 	stream  wire.DRPCDirectory_LinkClient
 	sending sync.Mutex
+
+	// Owned by serve.
+	used   bool
+	waited bool   // a roster has come before
+	loaded func() // gives the turn on once the endpoints have come
 }
 
-// serve says hello and takes what comes; loaded is called once the endpoints
-// have come.
-func (l *entryLink) serve(ctx context.Context, loaded func()) error {
+// serve says hello and takes what comes until the link fails, or ctx ends; all is the
+// context of every link.
+func (l *entryLink) serve(ctx, all context.Context) error {
 	entry := l.watch.entry
-	digest := entry.digest()
-	hello := &wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain, Digest: digest[:], Brief: true}
+	hello := &wire.Hello{Id: entry.config.Name, Domain: entry.config.Domain}
 	if entry.config.Operators.IsValid() {
 		hello.Announce = entry.config.Operators.String()
 	}
 	if err := l.send(helloFrame(hello)); err != nil {
 		return err
 	}
-	entry.reach(l)
 	for {
 		frame, err := l.stream.Recv()
 		if err == nil {
@@ -36,15 +40,26 @@
 		if err != nil {
 			return err
 		}
-		if err := l.take(ctx, frame); err != nil {
+		if err := l.take(ctx, all, frame); err != nil {
 			return err
 		}
-		if reports := frame.GetReports(); reports != nil && !reports.More {
-			loaded()
-		}
 	}
 }
 
+// use has the instance tell what is in force, if the link is wanted for that.
+func (l *entryLink) use(ctx, all context.Context) error {
+	waited := l.waited
+	l.waited = true
+	if l.used || !l.watch.use(ctx, all, l.address, waited) {
+		return nil
+	}
+	l.used = true
+	entry := l.watch.entry
+	entry.config.Log.Info("control instance reached", "control", l.address)
+	l.loaded = l.watch.awaitTurn(ctx)
+	return entry.reach(l)
+}
+
 // send sends one frame; several goroutines may call it.
 func (l *entryLink) send(frame *wire.Frame) error {
 	l.sending.Lock()
@@ -55,11 +70,12 @@
 // subscribe has the control instance tell every change of endpoints, or tell
 // them briefly.
 func (l *entryLink) subscribe(brief bool) error {
-	return l.send(&wire.Frame{Body: &wire.Frame_Subscription{Subscription: &wire.Subscription{Brief: brief}}})
+	digest := l.watch.entry.digest()
+	return l.send(&wire.Frame{Body: &wire.Frame_Subscription{Subscription: &wire.Subscription{Brief: brief, Digest: digest[:]}}})
 }
 
 // take does what one frame asks for.
-func (l *entryLink) take(ctx context.Context, frame *wire.Frame) error {
+func (l *entryLink) take(ctx, all context.Context, frame *wire.Frame) error {
 	entry := l.watch.entry
 	switch body := frame.Body.(type) {
 	case *wire.Frame_Offer:
@@ -67,22 +83,44 @@
 	case *wire.Frame_Document:
 		entry.takeDocument(l.address, body.Document)
 	case *wire.Frame_Reports:
-		if lacking := entry.takeReports(l.address, body.Reports); len(lacking) > 0 {
-			return l.send(&wire.Frame{Body: &wire.Frame_Records{Records: &wire.RecordsWant{Ids: lacking}}})
-		}
-	case *wire.Frame_Doubt:
-		entry.takeDoubt(body.Doubt)
+		return l.takeReports(body.Reports)
+	case *wire.Frame_Doubts:
+		entry.takeDoubts(body.Doubts)
 	case *wire.Frame_Roster:
-		entry.noteState(l.address, body.Roster)
-		if body.Roster.Same {
-			l.watch.reconnect(ctx)
-		} else {
-			l.watch.takeRoster(ctx, l.address, body.Roster)
-			entry.locate(l.address, body.Roster)
-		}
-		entry.askDocument() // where the one that was asked has not answered
-		// Shows the control instance that somebody still listens.
-		return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: entry.inForce()}})
+		return l.takeRoster(ctx, all, body.Roster)
 	}
 	return nil
 }
+
+// takeReports takes what is reported of endpoints, and asks for what is lacking.
+func (l *entryLink) takeReports(reports *wire.Reports) error {
+	if reports.More {
+		l.watch.loading.Store(true)
+	} else {
+		defer l.loaded()
+	}
+	want := l.watch.entry.takeReports(l.address, reports)
+	if want == nil {
+		return nil
+	}
+	return l.send(&wire.Frame{Body: &wire.Frame_Records{Records: want}})
+}
+
+// takeRoster takes which control instances there are, and shows that somebody still
+// listens.
+func (l *entryLink) takeRoster(ctx, all context.Context, roster *wire.Roster) error {
+	entry := l.watch.entry
+	l.watch.noteCurrent(l.address, roster.Current)
+	if roster.Same {
+		l.watch.reconnect(all)
+	} else {
+		l.watch.takeRoster(all, l.address, roster)
+		entry.locate(l.address, roster)
+	}
+	if err := l.use(ctx, all); err != nil || !l.used {
+		return err
+	}
+	entry.noteState(l.address, roster)
+	entry.askDocument() // where the one that was asked has not answered
+	return l.send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: entry.inForce()}})
+}
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -10,56 +10,58 @@
 )
 
 const (
-	// feedGap is how long a feed lets changes of endpoints gather before it
-	// tells them: far below the time that an entry has for any of them, and one
-	// frame instead of many when a fleet starts.
-	feedGap = 20 * time.Millisecond
-	// briefGap is the same for an entry that another control instance tells
-	// them whole: long enough for that one to have told them, and still far
-	// below the time that an entry has.
-	briefGap = 200 * time.Millisecond
+	// checkAfter is how long after the digest was told it is told again, and checks how
+	// often, so that an entry finds out what it lacks though nothing changes any more: a
+	// part of the endpoints that has not changed meanwhile and that it knows otherwise.
+	checkAfter = 3 * briefGap
+	checks     = 2
 	// restGap is how long the rest of the first list waits for the entry to ask for
 	// the document, which it needs for new flows and would otherwise have after the list,
 	// 42 ms later over a link of 2 Mbit/s: several round trips between failure domains.
 	restGap = 15 * time.Millisecond
-	// doubtsWaiting bounds the doubts that an entry has not been told of yet: more
-	// endpoints than a failure domain of the largest deployment played has.
+	// doubtsWaiting bounds the frames about doubts that an entry has not been told of yet.
 	doubtsWaiting = 64
 	// rosterEvery is how often an entry is told of the control instances: three
 	// times within linkIdle, so that its link stays while nothing changes.
 	rosterEvery = 2 * frameEvery
 )
 
-// entryFeed sends one entry what it lacks.
+// entryFeed sends one entry what it lacks, once it has subscribed; before that only
+// which control instances there are, so that it can choose.
 type entryFeed struct {
 	control *Control
 	stream  wire.DRPCDirectory_LinkStream
-	name    string           // of the entry
-	domain  string           // of the entry
-	known   registry.Digest  // what the entry knew when the link began
-	wants   chan uint64      // the version that the entry holds, when it asks
-	records chan []string    // the endpoints that the entry asks for
-	doubts  chan *wire.Doubt // of other entries
-	modes   chan bool        // whether it is told briefly from now on
-	brief   bool             // another control instance tells it whole records
-	due     <-chan time.Time // when changes have gathered, nil while there are none
-	sent    uint64           // number of the last reports, 0 before the first
-	rest    []*wire.Frame    // of the first list, not sent yet
-	restDue <-chan time.Time // when it is sent at the latest, nil while there is none
-	offered *published       // what the last offer told of
-	listed  *wire.Roster     // the last roster that was told whole, nil before the first
+	name    string                  // of the entry
+	domain  string                  // of the entry
+	wants   chan uint64             // the version that the entry holds, when it asks
+	records chan *wire.RecordsWant  // what the entry asks for
+	doubts  chan *wire.Frame        // about doubts
+	modes   chan *wire.Subscription // how it is told from now on
+	told    bool                    // it has subscribed
+	listens string                  // where it listens for announcements, "" for nowhere
+	unlink  func()                  // notes the end of the link of one that has subscribed
+	brief   bool                    // another control instance tells it whole records
+	sent    uint64                  // number of the last reports
+	rest    []*wire.Frame           // of the first list, not sent yet
+	restDue <-chan time.Time        // when it is sent at the latest, nil while there is none
+	checks  int                     // how often the digest is told again
+	checkAt <-chan time.Time        // when, nil while it is not
+	offered *published              // what the last offer told of
+	listed  *wire.Roster            // the last roster that was told whole, nil before the first
 }
 
 // newEntryFeed returns the feed of the entry that said hello on a stream.
 func newEntryFeed(control *Control, stream wire.DRPCDirectory_LinkStream, hello *wire.Hello) *entryFeed {
 	return &entryFeed{
 		control: control, stream: stream, name: hello.Id, domain: hello.Domain,
-		known: registry.DigestOf(hello.Digest), brief: hello.Brief,
-		wants: make(chan uint64, 1), records: make(chan []string, 1), modes: make(chan bool, 1),
-		doubts: make(chan *wire.Doubt, doubtsWaiting),
+		wants: make(chan uint64, 1), records: make(chan *wire.RecordsWant, 1), modes: make(chan *wire.Subscription, 1),
+		doubts: make(chan *wire.Frame, doubtsWaiting), listens: hello.Announce, unlink: func() {},
 	}
 }
 
+// end notes that the link has ended.
+func (f *entryFeed) end() { f.unlink() }
+
 // receiveLoop takes what the entry asks for until the link fails, and then
 // calls failed.
 func (f *entryFeed) receiveLoop(ctx context.Context, failed func()) {
@@ -73,9 +75,9 @@
 		case *wire.Frame_Want:
 			hand(ctx, f.wants, body.Want.Held)
 		case *wire.Frame_Records:
-			hand(ctx, f.records, body.Records.Ids)
+			hand(ctx, f.records, body.Records)
 		case *wire.Frame_Subscription:
-			hand(ctx, f.modes, body.Subscription.Brief)
+			hand(ctx, f.modes, body.Subscription)
 		case *wire.Frame_Doubt:
 			f.control.takeDoubt(f, body.Doubt)
 		case *wire.Frame_Receipt:
@@ -94,36 +96,37 @@
 
 // run sends until the link fails.
 func (f *entryFeed) run(ctx context.Context) error {
-	changed, cancel := f.control.endpoints.changes.subscribe()
-	defer cancel()
+	whole, cancelWhole := f.control.endpoints.whole.made.subscribe()
+	defer cancelWhole()
+	brief, cancelBrief := f.control.endpoints.brief.made.subscribe()
+	defer cancelBrief()
 	documents, cancelDocuments := f.control.documents.subscribe()
 	defer cancelDocuments()
 	ticker := time.NewTicker(rosterEvery)
 	defer ticker.Stop()
-	err := f.sendOffer()
-	if err == nil {
-		err = f.sendReports()
-	}
+	err := f.sendRoster()
 	for err == nil {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-changed:
-			f.gather()
-		case <-f.due:
-			err = f.sendReports()
+		case <-whole:
+			err = f.sendBatches(false)
+		case <-brief:
+			err = f.sendBatches(true)
 		case <-documents:
 			err = f.sendOffer()
 		case <-f.restDue:
 			err = f.sendRest()
 		case held := <-f.wants:
 			err = f.answerWant(held)
-		case ids := <-f.records:
-			err = f.stream.Send(reportsFrame(f.control.endpoints.records(ids)))
-		case d := <-f.doubts:
-			err = f.stream.Send(doubtFrame(d))
-		case f.brief = <-f.modes:
-			err = f.sendReports()
+		case want := <-f.records:
+			err = f.stream.Send(pack(reportsFrame(f.answerRecords(want)), packFast))
+		case frame := <-f.doubts:
+			err = f.stream.Send(frame)
+		case s := <-f.modes:
+			err = f.subscribe(s)
+		case <-f.checkAt:
+			err = f.check()
 		case <-ticker.C:
 			err = f.sendRoster()
 		}
@@ -136,13 +139,15 @@
 // whole 2.5 times a second on each link they were 23 of the 35 MB that crossed a border
 // between failure domains on a calm day of 89 entries.
 func (f *entryFeed) sendRoster() error {
-	roster := f.control.roster.Load().roster
+	made := f.control.roster.Load()
+	roster := made.roster
 	told := &wire.Roster{Same: true}
 	if f.listed == nil || !namesSame(f.listed, roster) {
 		f.listed = roster
 		told = &wire.Roster{Instances: roster.Instances, Voters: roster.Voters, Leader: roster.Leader}
 	}
-	told.Leads, told.Whole = roster.Leads, f.control.endpoints.whole()
+	current := made.vouched(f.control.config.Now()) != nil
+	told.Leads, told.Current, told.Whole = roster.Leads, roster.Current && current, f.control.endpoints.allHeard()
 	return f.stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: told}})
 }
 
@@ -155,53 +160,128 @@
 	return a.Leader == b.Leader && slices.Equal(a.Voters, b.Voters) && slices.EqualFunc(a.Instances, b.Instances, sameInstance)
 }
 
-// gather lets further changes come before those that have are told.
-func (f *entryFeed) gather() {
-	gap := feedGap
+// subscribe tells the entry of the document and of endpoints from now on, or of
+// endpoints in another way.
+func (f *entryFeed) subscribe(s *wire.Subscription) error {
+	f.brief = s.Brief
+	if !f.told {
+		f.told = true
+		f.begin()
+	}
+	if err := f.sendOffer(); err != nil {
+		return err
+	}
+	known := registry.DigestOf(s.Digest)
+	switch {
+	case known == (registry.Digest{}):
+		return f.sendFirstList()
+	case f.brief:
+		return f.sendView()
+	default:
+		f.checkAt = nil
+		return f.sendLacking(known)
+	}
+}
+
+// begin notes that the entry is linked.
+func (f *entryFeed) begin() {
+	f.control.entries.heard(f, &wire.Receipt{})
+	unlisten := f.control.audience.link(f.listens)
+	f.unlink = func() {
+		unlisten()
+		f.control.entries.lost(f)
+	}
+}
+
+// batches returns those that the feed sends.
+func (f *entryFeed) batches() *batches {
 	if f.brief {
-		gap = briefGap
+		return f.control.endpoints.brief
+	}
+	return f.control.endpoints.whole
+}
+
+// sendView tells an entry that is told briefly what is known of endpoints, in sum.
+func (f *entryFeed) sendView() error {
+	f.sent = f.batches().upTo()
+	f.beginChecks()
+	return f.stream.Send(pack(reportsFrame(f.control.endpoints.view()), packFast))
+}
+
+// beginChecks has the digest told again.
+func (f *entryFeed) beginChecks() {
+	f.checks = checks
+	f.checkAt = time.After(checkAfter)
+}
+
+// check tells the digest once more.
+func (f *entryFeed) check() error {
+	f.checkAt = nil
+	if f.checks--; f.checks > 0 {
+		f.checkAt = time.After(checkAfter)
 	}
-	if f.due == nil {
-		f.due = time.After(gap)
+	return f.stream.Send(pack(reportsFrame(f.control.endpoints.view()), packFast))
+}
+
+// sendLacking tells the entry the parts of the list in which it knows something else.
+func (f *entryFeed) sendLacking(known registry.Digest) error {
+	f.sent = f.batches().upTo()
+	return f.stream.Send(pack(reportsFrame(f.control.endpoints.lacking(known)), packFast))
+}
+
+// answerRecords returns what the entry asks for.
+func (f *entryFeed) answerRecords(want *wire.RecordsWant) *wire.Reports {
+	if len(want.Digest) > 0 {
+		return f.control.endpoints.lacking(registry.DigestOf(want.Digest))
 	}
+	return f.control.endpoints.records(want.Ids)
 }
 
 // sendOffer offers a document that came in force, and tells of evacuations.
 func (f *entryFeed) sendOffer() error {
 	p := f.control.published.Load()
-	if p == f.offered || p.document() == nil {
+	if p == f.offered || p.document() == nil || !f.told {
 		return nil
 	}
 	f.offered = p
 	return f.stream.Send(p.offer())
 }
 
-// sendReports tells the entry of endpoints.
-func (f *entryFeed) sendReports() error {
-	f.due = nil
-	if f.sent == 0 && f.known == (registry.Digest{}) {
-		return f.sendFirstList()
-	}
-	reports := f.reports()
-	if len(reports.Endpoints)+len(reports.Sums) == 0 && f.sent > 0 {
+// sendBatches tells the entry what has changed since it was told last, if it is told so
+// at present. One that is too far behind is told it by itself.
+func (f *entryFeed) sendBatches(brief bool) error {
+	if !f.told || f.brief != brief {
 		return nil
 	}
-	f.sent = reports.Number
-	return f.stream.Send(pack(reportsFrame(reports), packFast))
+	told, number, ok := f.batches().after(f.sent)
+	if !ok {
+		number = f.batches().upTo()
+		told = batchOf(f.reports())
+	}
+	for _, each := range told {
+		if err := f.stream.Send(each.frame); err != nil {
+			return err
+		}
+		if each.summed {
+			f.beginChecks()
+		}
+	}
+	f.sent = number
+	return nil
 }
 
 // sendFirstList tells an entry that knows nothing of the endpoints of its own
-// failure domain; the rest follows, with what has changed since the list was made.
+// failure domain; the rest follows, and what has changed since the list was made.
 func (f *entryFeed) sendFirstList() error {
-	frames, number := f.control.firstList.get(f.domain)
+	frames, number := f.control.firstList.get(f.domain, f.batches())
 	f.sent = number
-	if f.control.endpoints.changed() > number {
-		f.gather()
-	}
 	if f.rest = frames[1:]; len(f.rest) > 0 {
 		f.restDue = time.After(restGap)
 	}
-	return f.stream.Send(frames[0])
+	if err := f.stream.Send(frames[0]); err != nil {
+		return err
+	}
+	return f.sendBatches(f.brief)
 }
 
 // sendRest tells the rest of the first list.
@@ -221,16 +301,12 @@
 	return &wire.Frame{Body: &wire.Frame_Reports{Reports: reports}}
 }
 
-// reports returns what the entry lacks, and later what has changed.
+// reports returns what has changed since the entry was told last.
 func (f *entryFeed) reports() *wire.Reports {
-	switch {
-	case f.sent == 0:
-		return f.control.endpoints.lacking(f.known)
-	case f.brief:
+	if f.brief {
 		return f.control.endpoints.changesBrieflyAfter(f.sent)
-	default:
-		return f.control.endpoints.changesAfter(f.sent)
 	}
+	return f.control.endpoints.changesAfter(f.sent)
 }
 
 // answerWant sends the document to an entry that asks for it, and then what it
--- a/internal/node/firstlist.go
+++ b/internal/node/firstlist.go
@@ -22,23 +22,25 @@
 
 	mu      sync.Mutex // held while frames are made, so that they are made once
 	reports *wire.Reports
+	number  uint64                   // up to which batches were made before
 	frames  map[string][]*wire.Frame // by failure domain
 	madeAt  time.Time
 }
 
-// get returns the frames for an entry of a failure domain, and the number of the
-// last change that they tell of.
-func (l *firstList) get(domain string) ([]*wire.Frame, uint64) {
+// get returns the frames for an entry of a failure domain, and the number up to which
+// they tell of changes at least, at which one of the batches ends.
+func (l *firstList) get(domain string, goesOn *batches) ([]*wire.Frame, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.endpoints.now()
 	if l.reports == nil || l.reports.Number == 0 || now.Sub(l.madeAt) > firstListFor {
+		l.number = goesOn.upTo()
 		l.reports, l.frames, l.madeAt = l.endpoints.lacking(registry.Digest{}), map[string][]*wire.Frame{}, now
 	}
 	if l.frames[domain] == nil {
 		l.frames[domain] = firstFrames(l.reports, domain)
 	}
-	return l.frames[domain], l.reports.Number
+	return l.frames[domain], l.number
 }
 
 // firstFrames returns the frames that tell of all endpoints. Those of the entry's
--- /dev/null
+++ b/internal/node/fleet_bench_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/pprof"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"oxbowsaddle/internal/registry"
+	"oxbowsaddle/internal/storage"
+	"oxbowsaddle/internal/wire"
+)
+
+// benchDomains are the failure domains of the fleet that BenchmarkFleet makes.
+const benchDomains = 5
+
+// benchEndpoint returns the n-th endpoint of a fleet as it says of itself first.
+func benchEndpoint(n int) registry.Endpoint {
+	return registry.Endpoint{
+		ID: registry.Incarnation(fmt.Sprintf("i-%08x", uint32(n)*2654435761), 1764745945123+int64(n)), Number: uint64(uint32(n) * 2654435761),
+		Service: "booking", Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 128, byte(n >> 8), byte(n)}), 8080),
+		Domain: fmt.Sprint("d", n%benchDomains), Slots: 2, Sequence: 1,
+	}
+}
+
+// BenchmarkFleet tells what the entries that are linked to a control instance, and the
+// endpoints that all of them know, cost it while the fleet starts: memory in use and
+// processor time, by link and by record. The other ends of the links read and drop what
+// comes, in this process, so that their share is in the figures too. FLEET_HEAP=FILE
+// writes a profile of the heap: go test ./internal/node -run '^$' -bench Fleet -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for n, size := range []struct{ links, endpoints int }{{0, 10_000}, {118, 10_000}, {985, 10_000}, {118, 20_000}} {
+		b.Run(fmt.Sprintf("links=%d/endpoints=%d", size.links, size.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				startsWith(b, byte(140+n), size.links, size.endpoints)
+			}
+		})
+	}
+}
+
+// startsWith starts a control instance before so many entries, has all endpoints become
+// known, and reports what that cost.
+func startsWith(b *testing.B, subnet byte, links, endpoints int) {
+	folder := b.TempDir()
+	peer := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), subnet, 1}), 17740)
+	control := NewControl(ControlConfig{
+		Domain: "d0", Peer: peer, Front: "front", Seeds: []netip.AddrPort{peer}, First: true, Voters: 1, Beat: 2 * time.Second,
+		Files: func() (storage.Files, error) { return storage.Folder(folder) },
+		Dial:  DialTCP, Log: log.New(io.Discard), Now: SteadyClock(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = control.Run(ctx) }()
+	before, cpu := memoryInUse(), processorTime()
+	for n := range links {
+		go readAll(ctx, peer.String(), n)
+	}
+	for control.entries.count() < links {
+		time.Sleep(time.Millisecond)
+	}
+	most := memoryInUse()
+	for n := range endpoints {
+		control.endpoints.hear(benchEndpoint(n))
+		if n%500 == 0 {
+			time.Sleep(50 * time.Millisecond) // as many as a fleet's heartbeats bring in that time
+			most = max(most, memoryInUse())
+		}
+	}
+	time.Sleep(time.Second)
+	most = max(most, memoryInUse())
+	if path := os.Getenv("FLEET_HEAP"); path != "" {
+		if f, err := os.Create(path); err == nil {
+			_ = pprof.WriteHeapProfile(f)
+			_ = f.Close()
+		}
+	}
+	b.ReportMetric(float64(most-before)/(1<<20), "MB")
+	b.ReportMetric(float64(processorTime()-cpu)/float64(time.Millisecond), "ms-cpu")
+	if links > 0 {
+		b.ReportMetric(float64(most-before)/float64(links)/(1<<10), "kB/link")
+	}
+}
+
+// readAll is the other end of a link that reads what comes until the context ends.
+func readAll(ctx context.Context, address string, n int) {
+	var raw net.Conn
+	for {
+		var err error
+		if raw, err = DialTCP(ctx, address, time.Second); err == nil {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	stream, done, err := openLink(ctx, raw)
+	if err != nil {
+		return
+	}
+	defer done()
+	subscription := &wire.Subscription{Brief: n%3 > 0}
+	hello := &wire.Hello{Id: fmt.Sprint("e", n), Domain: fmt.Sprint("d", n%benchDomains)}
+	for _, frame := range []*wire.Frame{helloFrame(hello), {Body: &wire.Frame_Subscription{Subscription: subscription}}} {
+		if stream.Send(frame) != nil {
+			return
+		}
+	}
+	receipt := &wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{}}}
+	for {
+		frame, err := stream.Recv()
+		if err == nil && frame.GetRoster() != nil {
+			err = stream.Send(receipt)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks in use.
+func memoryInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/internal/node/hints.go
+++ b/internal/node/hints.go
@@ -14,6 +14,9 @@
 	hintsName = "hints"
 	// hintsEvery bounds how often hints are written: two syncs each time.
 	hintsEvery = 250 * time.Millisecond
+	// hintsRest is how many times as long as a write took none follows: what is written grows
+	// with the fleet, and this bounds its part of the processor and of the disk.
+	hintsRest = 20
 )
 
 // loadHints reads what was known before the restart, and fills the lists of
@@ -43,12 +46,17 @@
 	ticker := time.NewTicker(hintsEvery)
 	defer ticker.Stop()
 	var commit, number, entries uint64
+	var rested time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		began := c.config.Now()
+		if began.Before(rested) {
+			continue
+		}
 		known, changed, audience := c.Status().Commit, c.endpoints.changed(), c.audience.changes()
 		if known == commit && changed == number && audience == entries {
 			continue
@@ -59,6 +67,8 @@
 			continue
 		}
 		commit, number, entries = known, changed, audience
+		wrote := c.config.Now()
+		rested = wrote.Add(hintsRest * wrote.Sub(began))
 	}
 }
 
--- a/internal/node/learn.go
+++ b/internal/node/learn.go
@@ -100,17 +100,26 @@
 	}
 }
 
-// takeReports takes what a control instance reports of endpoints. It returns the
-// ids of those that it must be asked for.
-func (e *Entry) takeReports(source string, reports *wire.Reports) (lacking []string) {
+// takeReports takes what a control instance reports of endpoints. It returns what it
+// must be asked for, nil for nothing.
+func (e *Entry) takeReports(source string, reports *wire.Reports) *wire.RecordsWant {
 	now := e.config.Now()
 	e.mu.Lock()
-	lacking = e.steerer.Learn(now, source, reports)
+	lacking := e.steerer.Learn(now, source, reports)
+	behind := len(reports.Digest) > 0 && e.steerer.LearnDigest(now, source, registry.DigestOf(reports.Digest))
+	digest := e.steerer.Digest()
 	e.mu.Unlock()
 	if len(reports.Endpoints) > 0 && !e.learned.Swap(true) {
 		e.config.Log.Info("endpoints known", "control", source, "endpoints", len(reports.Endpoints))
 	}
-	return lacking
+	switch {
+	case behind:
+		return &wire.RecordsWant{Digest: digest[:]}
+	case len(lacking) > 0:
+		return &wire.RecordsWant{Ids: lacking}
+	default:
+		return nil
+	}
 }
 
 // inForce tells which document and evacuations are in force.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -7,12 +7,12 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// reach notes that a control instance can be asked.
-func (e *Entry) reach(l *entryLink) {
+// reach notes that a control instance can be asked, and has it tell what is in force.
+func (e *Entry) reach(l *entryLink) error {
 	e.mu.Lock()
 	e.links[l.address] = l
 	e.mu.Unlock()
-	e.choosePrimary()
+	return e.choosePrimary(l)
 }
 
 // linked reports whether any control instance can be asked.
@@ -43,28 +43,35 @@
 	e.mu.Lock()
 	e.primary.locate(source, roster.Instances[0].Domain)
 	e.mu.Unlock()
-	e.choosePrimary()
+	_ = e.choosePrimary(nil)
 }
 
 // choosePrimary has one control instance tell every change of endpoints, and the
-// others tell them briefly.
-func (e *Entry) choosePrimary() {
+// others tell them briefly. The error is that of the link that is new, nil for none.
+func (e *Entry) choosePrimary(fresh *entryLink) error {
 	e.choosing.Lock() // so that what is sent comes in the order of the choices
 	defer e.choosing.Unlock()
 	e.mu.Lock()
 	before, changed := e.primary.choose(slices.Sorted(maps.Keys(e.links)))
 	chosen, last := e.links[e.primary.chosen], e.links[before]
 	e.mu.Unlock()
+	var err error
+	if fresh != nil && fresh != chosen {
+		err = fresh.subscribe(true)
+	}
 	if !changed {
-		return
+		return err
 	}
-	// A link that fails is noticed where it is read; another one is chosen then.
+	// Another link that fails is noticed where it is read; another one is chosen then.
 	if chosen != nil {
-		_ = chosen.subscribe(false)
+		if failed := chosen.subscribe(false); chosen == fresh {
+			err = failed
+		}
 	}
 	if last != nil {
 		_ = last.subscribe(true)
 	}
+	return err
 }
 
 // forget drops what a control instance said, since it is out of reach, and
@@ -76,7 +83,7 @@
 	e.fetch.lost(source)
 	delete(e.links, source)
 	e.mu.Unlock()
-	e.choosePrimary()
+	_ = e.choosePrimary(nil)
 	e.askDocument()
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -33,6 +33,7 @@
 		control *Control
 		address string
 		outbox  chan *wire.LogMessage
+		doubts  chan *wire.Frame // for the entries of the other one
 		cancel  context.CancelFunc
 		redial  redial
 	}
@@ -64,7 +65,10 @@
 		wanted[address] = true
 		if p.links[address] == nil {
 			linkCtx, cancel := context.WithCancel(ctx)
-			l := &peerLink{control: p.control, address: address, outbox: make(chan *wire.LogMessage, outboxSize), cancel: cancel}
+			l := &peerLink{
+				control: p.control, address: address, cancel: cancel,
+				outbox: make(chan *wire.LogMessage, outboxSize), doubts: make(chan *wire.Frame, doubtsWaiting),
+			}
 			p.links[address] = l
 			go l.run(linkCtx)
 		}
@@ -94,6 +98,19 @@
 	}
 }
 
+// spread queues a frame about doubts for every other instance; one whose queue is full
+// is left out.
+func (p *peerLinks) spread(frame *wire.Frame) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		select {
+		case l.doubts <- frame:
+		default:
+		}
+	}
+}
+
 // run keeps the link up until the context ends.
 func (l *peerLink) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -165,24 +182,34 @@
 // send sends reports when they change and at least every frameEvery, and
 // between them messages of the log, until the link or the context ends.
 func (l *peerLink) send(ctx context.Context, stream wire.DRPCDirectory_LinkClient) error {
-	changed, unsubscribe := l.control.endpoints.changes.subscribe()
+	endpoints := l.control.endpoints
+	made, unsubscribe := endpoints.peers.made.subscribe()
 	defer unsubscribe()
 	ticker := time.NewTicker(frameEvery)
 	defer ticker.Stop()
-	sent := uint64(0)
+	sent := endpoints.peers.upTo()
+	if err := stream.Send(pack(reportsFrame(endpoints.beatsAfter(0)), packFast)); err != nil {
+		return err
+	}
 	for {
-		reports := l.control.endpoints.beatsAfter(sent)
-		if err := stream.Send(reportsFrame(reports)); err != nil {
+		if err := l.sendLog(ctx, stream, made, ticker.C); err != nil {
 			return err
 		}
-		sent = reports.Number
-		if err := l.sendLog(ctx, stream, changed, ticker.C); err != nil {
-			return err
+		told, number, ok := endpoints.peers.after(sent)
+		if !ok {
+			number = endpoints.peers.upTo()
+			told = batchOf(endpoints.beatsAfter(sent))
+		}
+		for _, each := range told {
+			if err := stream.Send(each.frame); err != nil {
+				return err
+			}
 		}
+		sent = number
 	}
 }
 
-// sendLog sends messages of the log until reports are due; each tick sends a
+// sendLog sends messages of the log and doubts until reports are due; each tick sends a
 // roster too, if it vouches for this instance.
 func (l *peerLink) sendLog(ctx context.Context, stream wire.DRPCDirectory_LinkClient, changed <-chan struct{}, tick <-chan time.Time) error {
 	for {
@@ -193,6 +220,10 @@
 			if err := stream.Send(&wire.Frame{Body: &wire.Frame_Log{Log: m}}); err != nil {
 				return err
 			}
+		case frame := <-l.doubts:
+			if err := stream.Send(frame); err != nil {
+				return err
+			}
 		case <-changed:
 			return nil
 		case <-tick:
--- a/internal/node/primary.go
+++ b/internal/node/primary.go
@@ -4,13 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/dchest/siphash"
-)
-
-// The keys by which entries spread over control instances.
-const (
-	primaryKey0 = 0x6f78626f77736164
-	primaryKey1 = 0x7072696d61727900
+	"oxbowsaddle/internal/attachment"
 )
 
 // primary decides from which control instance an entry is told every change of
@@ -45,12 +39,9 @@
 	}
 	p.chosen = ""
 	if len(near) > 0 {
-		p.chosen = slices.MaxFunc(near, func(a, b string) int { return cmp.Compare(p.rank(a), p.rank(b)) })
+		p.chosen = slices.MaxFunc(near, func(a, b string) int {
+			return cmp.Compare(attachment.Rank(p.entry, a), attachment.Rank(p.entry, b))
+		})
 	}
 	return before, p.chosen != before
 }
-
-// rank returns a number for a control instance that differs by entry.
-func (p *primary) rank(address string) uint64 {
-	return siphash.Hash(primaryKey0, primaryKey1, []byte(p.entry+" "+address))
-}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -32,6 +32,9 @@
 func (h *linkHandler) servePeer(stream wire.DRPCDirectory_LinkStream) error {
 	for {
 		frame, err := stream.Recv()
+		if err == nil {
+			frame, err = unpack(frame)
+		}
 		if err != nil {
 			return err
 		}
@@ -40,6 +43,8 @@
 			h.control.step(body.Log)
 		case *wire.Frame_Roster:
 			h.control.hear(body.Roster)
+		case *wire.Frame_Doubts:
+			h.control.entries.spread(frame)
 		case *wire.Frame_Reports:
 			h.control.endpoints.merge(body.Reports)
 			if err := stream.Send(&wire.Frame{Body: &wire.Frame_Receipt{Receipt: &wire.Receipt{Number: body.Reports.Number}}}); err != nil {
@@ -54,9 +59,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	feed := newEntryFeed(h.control, stream, hello)
-	h.control.entries.heard(feed, &wire.Receipt{})
-	defer h.control.entries.lost(feed)
-	defer h.control.audience.link(hello.Announce)()
+	defer feed.end()
 	go feed.receiveLoop(ctx, cancel)
 	return feed.run(ctx)
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -2,41 +2,64 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowsaddle/internal/announce"
+	"oxbowsaddle/internal/attachment"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/wire"
 )
 
 const (
-	// watchMost is how many control instances an entry watches at once. A
-	// change that a majority of up to 13 holds reaches one of them.
-	watchMost = 7
-	// turnMost is how long a link waits until another has loaded its first
-	// table: some hundred endpoints over a link of 2 Mbit/s.
-	turnMost = 150 * time.Millisecond
+	// turnMost is how long a link waits until another one has begun to load its first
+	// table, and turnLoads until that has come: the list of the largest fleet, over its
+	// links.
+	turnMost  = 150 * time.Millisecond
+	turnLoads = linkIdle
+	// behindAfter is for how long a control instance must say that it hears no leader
+	// before another one is used beside it: longer than an election.
+	behindAfter = 2 * time.Second
+	// tryAgainAfter is how long an address that could not be reached, and is no longer
+	// tried, counts as out of reach.
+	tryAgainAfter = 2 * time.Second
 )
 
-// watch keeps links from an entry to the control instances: whichever can be
-// reached tells what is in force, so that no single one can hold news back.
-type watch struct {
-	entry *Entry
+type (
+	// watch keeps links from an entry to a few control instances: whichever can be
+	// reached tells what is in force, so that no single one can hold news back.
+	watch struct {
+		entry *Entry
+		plan  attachment.Config
 
-	mu     sync.Mutex
-	seeds  []string
-	links  map[string]context.CancelFunc // by address
-	listed map[string][]string           // by the address of the roster's sender
-	heard  announce.Heard
-	turn   chan struct{} // held by the link that loads its first table
-}
+		mu     sync.Mutex
+		seeds  []string
+		links  map[string]*watched               // by address, those that are kept up
+		listed map[string][]attachment.Candidate // by the address of the roster's sender
+		heard  announce.Heard
+		lost   map[string]time.Time // when an address was found out of reach
+		turn   chan struct{}        // held by the link that loads its first table
+
+		loading atomic.Bool // it has begun to come
+	}
+
+	// watched is the link that is kept up to one address.
+	watched struct {
+		cancel context.CancelFunc
+		used   bool      // it stands and carries what is told
+		behind time.Time // since when the instance has heard no leader, zero where it has
+	}
+)
 
 func newWatch(e *Entry) *watch {
-	return &watch{entry: e, links: map[string]context.CancelFunc{}, listed: map[string][]string{}, turn: make(chan struct{}, 1)}
+	return &watch{
+		entry: e, plan: attachment.Config{Entry: e.config.Name, Domain: e.config.Domain, Links: attachment.Links(e.config.Losses)},
+		links: map[string]*watched{}, listed: map[string][]attachment.Candidate{}, lost: map[string]time.Time{},
+		turn: make(chan struct{}, 1),
+	}
 }
 
 // setSeeds takes the addresses that the settings name now.
@@ -57,7 +80,7 @@
 	delete(w.listed, source)
 	if roster != nil {
 		for _, c := range roster.Instances {
-			w.listed[source] = append(w.listed[source], c.Address)
+			w.listed[source] = append(w.listed[source], attachment.Candidate{Address: c.Address, Domain: c.Domain})
 		}
 	}
 	w.connect(ctx)
@@ -80,44 +103,152 @@
 	w.connect(ctx)
 }
 
-// connect keeps links to whatever is a seed, listed by anybody in reach or has
-// announced itself lately, and ends others. Links that stand are kept before others are begun, so that the
-// bound does not make them change about.
-func (w *watch) connect(ctx context.Context) {
-	named := map[string]bool{}
+// noteCurrent takes whether the instance at an address follows a leader.
+func (w *watch) noteCurrent(address string, current bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	link := w.links[address]
+	switch {
+	case link == nil:
+	case current:
+		link.behind = time.Time{}
+	case link.behind.IsZero():
+		link.behind = w.entry.config.Now()
+	}
+}
+
+// candidates returns whatever is a seed, listed by anybody in reach or has announced
+// itself lately.
+func (w *watch) candidates(now time.Time) []attachment.Candidate {
+	domains := map[string]string{}
 	for _, address := range w.seeds {
-		named[address] = true
+		domains[address] = ""
+	}
+	for _, addr := range w.heard.Recent(now) {
+		domains[addr.String()] = ""
 	}
 	for _, list := range w.listed {
-		for _, address := range list {
-			named[address] = true
+		for _, c := range list {
+			domains[c.Address] = c.Domain
 		}
 	}
-	for _, addr := range w.heard.Recent(w.entry.config.Now()) {
-		named[addr.String()] = true
+	all := make([]attachment.Candidate, 0, len(domains))
+	for address, domain := range domains {
+		all = append(all, attachment.Candidate{Address: address, Domain: domain})
+	}
+	return all
+}
+
+// usable reports whether the instance at an address may be counted on, as far as known.
+func (w *watch) usable(now time.Time, address string) bool {
+	link := w.links[address]
+	if link != nil && link.used {
+		return link.behind.IsZero() || now.Sub(link.behind) < behindAfter
+	}
+	at, lost := w.lost[address]
+	return !lost || link == nil && now.Sub(at) >= tryAgainAfter
+}
+
+// connect keeps links to the control instances that are chosen among the candidates.
+// One that is no longer chosen ends only once those that are carry what is told.
+func (w *watch) connect(ctx context.Context) {
+	now := w.entry.config.Now()
+	candidates := w.candidates(now)
+	chosen, standing := map[string]bool{}, 0
+	for _, address := range w.choose(now, candidates) {
+		chosen[address] = true
+		if link := w.links[address]; link == nil {
+			w.begin(ctx, address)
+		} else if link.used && w.usable(now, address) {
+			standing++
+		}
 	}
-	for address, cancel := range w.links {
-		if !named[address] {
-			cancel()
+	enough := standing >= min(w.plan.Links, len(candidates))
+	named := map[string]bool{}
+	for _, c := range candidates {
+		named[c.Address] = true
+	}
+	for address, link := range w.links {
+		if !named[address] || !chosen[address] && (enough || !link.used && w.told()) {
+			link.cancel()
 			delete(w.links, address)
 		}
 	}
-	for _, address := range slices.Sorted(maps.Keys(named)) {
-		if w.links[address] == nil && len(w.links) < watchMost {
-			linkCtx, cancel := context.WithCancel(ctx)
-			w.links[address] = cancel
-			go w.run(linkCtx, ctx, address)
+}
+
+// choose returns where links are kept to: while nothing is told by any, also to all seeds
+// and to whatever has announced itself lately.
+func (w *watch) choose(now time.Time, candidates []attachment.Candidate) []string {
+	chosen := w.plan.Choose(candidates, func(address string) bool { return w.usable(now, address) })
+	if w.told() {
+		return chosen
+	}
+	chosen = append(chosen, w.seeds...)
+	for _, addr := range w.heard.Recent(now) {
+		chosen = append(chosen, addr.String())
+	}
+	return chosen
+}
+
+// told reports whether any link carries what is told.
+func (w *watch) told() bool {
+	for _, link := range w.links {
+		if link.used {
+			return true
 		}
 	}
+	return false
+}
+
+// begin has a link to an address kept up.
+func (w *watch) begin(ctx context.Context, address string) {
+	linkCtx, cancel := context.WithCancel(ctx)
+	link := &watched{cancel: cancel}
+	w.links[address] = link
+	go w.run(linkCtx, ctx, address, link)
+}
+
+// use has the link to an address carry what is told from now on, and reports whether
+// it is to: it is chosen, or it has been there for a while and no link does yet. Ctx is
+// that of the link, all that of every link.
+func (w *watch) use(ctx, all context.Context, address string, waited bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	link := w.links[address]
+	if link == nil || ctx.Err() != nil {
+		return false
+	}
+	now := w.entry.config.Now()
+	planned := w.plan.Choose(w.candidates(now), func(address string) bool { return w.usable(now, address) })
+	if !slices.Contains(planned, address) && (!waited || w.told()) {
+		return false
+	}
+	link.used, link.behind = true, time.Time{}
+	delete(w.lost, address)
+	w.connect(all)
+	return true
+}
+
+// fail notes that an address is out of reach, and has another one tried.
+func (w *watch) fail(ctx context.Context, address string, link *watched) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	link.used = false
+	w.lost[address] = w.entry.config.Now()
+	w.connect(ctx)
 }
 
 // run keeps the link to one address up until ctx ends; all is the context of
 // every link, which ends later.
-func (w *watch) run(ctx, all context.Context, address string) {
+func (w *watch) run(ctx, all context.Context, address string, link *watched) {
 	var pace redial
 	for ctx.Err() == nil {
 		err := w.follow(ctx, all, address, &pace)
-		if ctx.Err() == nil && fault.KindOf(err) == fault.Unreachable {
+		if ctx.Err() != nil {
+			return
+		}
+		w.fail(all, address, link)
+		if fault.KindOf(err) == fault.Unreachable {
 			time.Sleep(redialAfter)
 		}
 	}
@@ -135,12 +266,12 @@
 	}
 	defer done()
 	pace.reached()
-	w.entry.config.Log.Info("control instance reached", "control", address)
-	loaded := w.awaitTurn(ctx)
-	defer loaded()
-	link := &entryLink{watch: w, address: address, stream: stream}
-	err = link.serve(all, loaded)
-	w.entry.forget(address)
+	link := &entryLink{watch: w, address: address, stream: stream, loaded: func() {}}
+	err = link.serve(ctx, all)
+	link.loaded()
+	if link.used {
+		w.entry.forget(address)
+	}
 	w.takeRoster(all, address, nil)
 	if ctx.Err() == nil {
 		w.entry.config.Log.Warn("control instance lost", "control", address, "error", err)
@@ -149,14 +280,26 @@
 }
 
 // awaitTurn lets links load their first table one after the other, so that the
-// first one is not held up by the others on a small link. It returns what
-// gives the turn on; nobody waits for longer than turnMost.
+// first one is not held up by the others on a small link, and what it brought need
+// not come again. It returns what gives the turn on; nobody waits for longer than
+// turnMost for one that has not begun, or than turnLoads.
 func (w *watch) awaitTurn(ctx context.Context) (loaded func()) {
-	select {
-	case w.turn <- struct{}{}:
-		return sync.OnceFunc(func() { <-w.turn })
-	case <-time.After(turnMost):
-	case <-ctx.Done():
+	begun, last := time.After(turnMost), time.After(turnLoads)
+	for {
+		select {
+		case w.turn <- struct{}{}:
+			return sync.OnceFunc(func() {
+				w.loading.Store(false)
+				<-w.turn
+			})
+		case <-begun:
+			if !w.loading.Load() {
+				return func() {}
+			}
+		case <-last:
+			return func() {}
+		case <-ctx.Done():
+			return func() {}
+		}
 	}
-	return func() {}
 }
--- a/internal/registry/digest.go
+++ b/internal/registry/digest.go
@@ -23,8 +23,8 @@
 // Toggle adds the sum of an endpoint, or takes it out.
 func (d *Digest) Toggle(id string, sum uint64) { d[part(id)] ^= sum }
 
-// same returns a bit for each part in which two digests agree.
-func (d *Digest) same(other *Digest) uint64 {
+// Same returns a bit for each part in which two digests agree.
+func (d *Digest) Same(other *Digest) uint64 {
 	var bits uint64
 	for i := range d {
 		if d[i] == other[i] {
--- /dev/null
+++ b/internal/registry/incarnation_test.go
@@ -0,0 +1,144 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"oxbowsaddle/internal/wire"
+)
+
+var _ = Describe("incarnations that share an id", func() {
+	var r *Registry
+	first, second := Incarnation("a", 1000), Incarnation("a", 2000)
+	BeforeEach(func() { r = New(Config{Beat: beat}, start) })
+	known := func(r *Registry, id string) *wire.EndpointReport { return find(r.Changes(start, 0), id) }
+
+	It("begin anew: the later one lives, whatever the earlier one said and counted", func() {
+		r.Hear(start, endpoint(first, 50, leaving))
+		_, taken := r.Hear(start.Add(beat), endpoint(second, 1, nil))
+		Expect(taken).To(BeTrue())
+		Expect(known(r, first).Gone).To(BeTrue())
+		Expect(known(r, second)).To(And(HaveField("Gone", false), HaveField("Leaving", false), HaveField("Silent", false)))
+	})
+
+	It("never come back once a later one is known, not by a message that was held back", func() {
+		r.Hear(start, endpoint(second, 1, nil))
+		_, taken := r.Hear(start, endpoint(first, 51, leaving))
+		Expect(taken).To(BeFalse())
+		Expect(known(r, first)).To(BeNil())
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: first, Sequence: 52, Address: "10.0.0.1:80"}}})
+		Expect(known(r, first)).To(BeNil())
+		Expect(known(r, second).Silent).To(BeFalse(), "nobody else lives at the address")
+	})
+
+	It("end by a message that names none: the one that was born last", func() {
+		r.Hear(start, endpoint(first, 50, nil))
+		r.Hear(start, endpoint(second, 1, nil))
+		r.Leave(start, "a")
+		Expect(known(r, second).Gone).To(BeTrue())
+		r.Hear(start, endpoint(Incarnation("a", 3000), 1, nil))
+		Expect(known(r, Incarnation("a", 3000)).Gone).To(BeFalse())
+	})
+
+	It("are told apart from an id that says nothing of its birth", func() {
+		Expect(Incarnation("a", 0)).To(Equal("a"))
+		r.Hear(start, endpoint("a", 5, nil))
+		_, taken := r.Hear(start, endpoint("a", 4, nil))
+		Expect(taken).To(BeFalse())
+		r.Hear(start, endpoint(second, 1, nil))
+		Expect(known(r, "a").Gone).To(BeFalse())
+	})
+
+	It("settle alike at three control instances, however messages are lost, late and repeated", func() {
+		const rounds, steps = 200, 60
+		for seed := range uint64(rounds) {
+			random := rand.New(rand.NewPCG(seed, 17))
+			all := []*Registry{New(Config{Beat: beat}, start), New(Config{Beat: beat}, start), New(Config{Beat: beat}, start)}
+			for n, each := range all {
+				each.SetRelay(n == 0)
+			}
+			var said []Endpoint
+			born, sequence, now := int64(1000), uint64(0), start
+			var told [3][3]uint64
+			exchange := func(from, to int) {
+				reports := all[from].Beats(now, told[from][to])
+				told[from][to] = reports.Number
+				all[to].Merge(now, reports)
+			}
+			for range steps {
+				now = now.Add(beat / 4)
+				switch random.IntN(6) {
+				case 0: // it starts again
+					born, sequence = born+1+random.Int64N(2000), 0
+				case 1, 2: // what it said once arrives, maybe late or again
+					if len(said) > 0 {
+						all[random.IntN(3)].Hear(now, said[random.IntN(len(said))])
+					}
+				case 3:
+					exchange(random.IntN(3), random.IntN(3))
+				default:
+					sequence++
+					e := endpoint(Incarnation("a", born), sequence, func(e *Endpoint) {
+						e.Leaving = random.IntN(9) == 0
+						e.Addr = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 80)
+					})
+					said = append(said, e)
+					if random.IntN(3) > 0 { // else it is lost, or comes later
+						all[random.IntN(3)].Hear(now, e)
+					}
+				}
+			}
+			last := endpoint(Incarnation("a", born), sequence+1, nil)
+			all[2].Hear(now, last)
+			for range 2 {
+				for from := range all {
+					for to := range all {
+						exchange(from, to)
+					}
+				}
+			}
+			for n, each := range all {
+				Expect(known(each, last.ID)).NotTo(BeNil(), fmt.Sprint("seed ", seed, " instance ", n))
+				for _, m := range each.Changes(now, 0).Endpoints {
+					Expect(m.Gone).To(Equal(m.Id != last.ID), fmt.Sprint("seed ", seed, " instance ", n, " ", m.Id))
+				}
+			}
+		}
+	})
+
+	It("are acknowledged as leaving only once peers can be told, whoever told of it first", func() {
+		r.SetRelay(false)
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: "b", Sequence: 4, Address: "10.0.0.1:80", Leaving: true}}})
+		before := r.Beats(start, 0)
+		Expect(before.Endpoints).To(BeEmpty(), "whoever heard it tells it")
+		number, _ := r.Hear(start, endpoint("b", 4, leaving))
+		told := r.Beats(start, before.Number)
+		Expect(find(told, "b").GetLeaving()).To(BeTrue(), "it may have told nobody else")
+		Expect(told.Number).To(BeNumerically(">=", number))
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: "b", Gone: true}}})
+		number = r.Leave(start, "b")
+		again := r.Beats(start, told.Number)
+		Expect(find(again, "b").GetGone()).To(BeTrue())
+		Expect(again.Number).To(BeNumerically(">=", number))
+	})
+
+	It("are told on by those that vote, also of what they were told before they did", func() {
+		r.SetRelay(false)
+		r.Merge(start, &wire.Reports{Endpoints: []*wire.EndpointReport{{Id: "b", Sequence: 4, Address: "10.0.0.1:80"}}})
+		r.SetRelay(true)
+		Expect(find(r.Beats(start, 0), "b")).NotTo(BeNil())
+	})
+
+	It("are not taken for silent by a process that stood still itself", func() {
+		r.Hear(start, endpoint("b", 1, nil))
+		r.Excuse(3 * beat)
+		r.Sweep(start.Add(4 * beat))
+		Expect(known(r, "b").Silent).To(BeFalse())
+		r.Sweep(start.Add(6 * beat))
+		Expect(known(r, "b").Silent).To(BeTrue())
+	})
+})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -57,21 +57,28 @@
 		beats   *list.List                   // records, the one that was heard last at the back
 		number  uint64                       // of the last heartbeat or change
 		swept   time.Time                    // when silence was last looked for
+		late    time.Duration                // how long this process has stood still, in sum
 		digest  Digest                       // of all records
+		relays  bool                         // tells peers on of what other peers told
+		newest  map[string]*record           // by name, of those whose incarnations share an id
 	}
 
 	// record is what is known of one incarnation.
 	record struct {
 		endpoint     Endpoint
 		heard        time.Time
+		late         time.Duration // Registry.late when it was heard
 		silent       bool
 		rivalSince   time.Time     // when another incarnation at the address was first known, zero for none
 		incumbent    bool          // known before the other one
 		heardAgain   bool          // heard with a higher sequence since then
 		sum          uint64        // as the registry's digest has it, 0 before that
 		changed      uint64        // number of the last change that entries must know
-		viewChanged  uint64        // number of the last change that sums do not show: of silence, or to cold
+		sumChanged   uint64        // number of the last change that sums show
+		viewChanged  uint64        // number of the last change that they do not: of silence, or to cold
 		peersChanged uint64        // number of the last heartbeat or change that peers must know
+		peersWhole   uint64        // number of the last one of which they must know all
+		untold       bool          // peers were not told on of a change that a peer told of
 		inChanges    *list.Element // of Registry.changes
 		inBeats      *list.Element // of Registry.beats
 	}
@@ -81,7 +88,23 @@
 func New(c Config, now time.Time) *Registry {
 	return &Registry{
 		config: c, started: now, swept: now, records: map[string]*record{}, living: map[netip.AddrPort][]*record{},
-		changes: list.New(), beats: list.New(),
+		changes: list.New(), beats: list.New(), relays: true, newest: map[string]*record{},
+	}
+}
+
+// SetRelay has this registry tell peers on of what other peers told, or not. A change
+// is acknowledged only once a majority of the voters holds it, and the leader hears from
+// one of these: so it suffices that voters do, while what each instance would tell each
+// other one grows with the square of their number.
+func (r *Registry) SetRelay(relays bool) {
+	if r.relays = relays; !relays {
+		return
+	}
+	for _, held := range r.records {
+		if held.untold {
+			r.number++
+			r.noteForPeers(held, true)
+		}
 	}
 }
 
@@ -89,8 +112,14 @@
 // change. It reports false where the heartbeat is older than what is known.
 func (r *Registry) Hear(now time.Time, e Endpoint) (uint64, bool) {
 	number, taken := r.hear(now, e, 0)
-	if taken {
-		r.noteForPeers(r.records[e.ID])
+	held := r.records[e.ID]
+	switch {
+	case taken:
+		r.noteForPeers(held, false)
+	case held != nil && held.untold: // whoever told of it may have told nobody else
+		r.number++
+		r.noteForPeers(held, true)
+		number = r.number
 	}
 	return number, taken
 }
@@ -102,12 +131,18 @@
 	if held != nil && (held.endpoint.Gone || e.Sequence <= held.endpoint.Sequence) {
 		return max(held.changed, held.peersChanged), false
 	}
+	if held == nil {
+		if later := r.supersede(now, e.ID); later != nil {
+			return max(later.changed, later.peersChanged), false
+		}
+	}
 	r.number++
 	again := held != nil && cooled(held, e)
 	changed := held == nil || again || material(held.endpoint, e)
 	if held == nil {
 		held = &record{}
 		r.records[e.ID] = held
+		r.noteNewest(e.ID, held)
 	} else {
 		held.heardAgain = !held.rivalSince.IsZero()
 	}
@@ -119,11 +154,11 @@
 	}
 	held.endpoint = e
 	if heard := now.Add(-age); heard.After(held.heard) {
-		held.heard = heard
+		held.heard, held.late = heard, r.late
 	}
 	r.settle(now, held)
 	if changed {
-		r.noteForPeers(held)
+		r.relay(held)
 	}
 	if r.quiet(now, held) != held.silent {
 		r.setSilent(held, !held.silent)
@@ -153,8 +188,19 @@
 	return a != b
 }
 
-// noteForPeers notes that peers must learn of the record.
-func (r *Registry) noteForPeers(held *record) {
+// relay has peers told on of a change of the record, if this registry does that.
+func (r *Registry) relay(held *record) {
+	if held.untold = !r.relays; r.relays {
+		r.noteForPeers(held, true)
+	}
+}
+
+// noteForPeers notes that peers must learn of the record: that it was heard, or, where
+// they may not know the rest, all of it.
+func (r *Registry) noteForPeers(held *record, whole bool) {
+	if whole || held.untold {
+		held.peersWhole, held.untold = r.number, false
+	}
 	held.peersChanged = r.number
 	held.inBeats = toBack(r.beats, held.inBeats, held)
 }
@@ -173,7 +219,6 @@
 	r.number++
 	held.endpoint.Gone, held.silent = true, false
 	r.settle(now, held)
-	r.noteForPeers(held)
 	r.noteForEntries(now, held)
 }
 
@@ -182,16 +227,29 @@
 	held.changed = r.number
 	held.inChanges = toBack(r.changes, held.inChanges, held)
 	r.digest.Toggle(held.endpoint.ID, held.sum)
-	held.sum = Sum(held.endpoint)
+	if sum := Sum(held.endpoint); sum != held.sum {
+		held.sum, held.sumChanged = sum, r.number
+	}
 	r.digest.Toggle(held.endpoint.ID, held.sum)
 	if r.config.Changed != nil {
 		r.config.Changed(held.endpoint, held.silent, now.Sub(held.heard))
 	}
 }
 
-// Leave marks an incarnation as gone and returns the number of the change.
+// Leave takes the message of an endpoint that it ends, and returns the number of the
+// change. Where several incarnations share its id, that of the newest one ends: such a
+// message does not say whose it is, and an earlier one has ended anyway.
 func (r *Registry) Leave(now time.Time, id string) uint64 {
-	return r.leave(now, Endpoint{ID: id})
+	if newest := r.newest[id]; newest != nil {
+		id = newest.endpoint.ID
+	}
+	number := r.leave(now, Endpoint{ID: id})
+	if held := r.records[id]; held.untold {
+		r.number++
+		r.noteForPeers(held, true)
+		number = r.number
+	}
+	return number
 }
 
 // leave marks an incarnation as gone; e is what is known of it where this
@@ -200,13 +258,16 @@
 	held := r.records[e.ID]
 	if held == nil {
 		e.Gone = false
+		r.supersede(now, e.ID)
 		r.number++
 		held = &record{endpoint: e, heard: now}
 		r.records[e.ID] = held
+		r.noteNewest(e.ID, held)
 	}
 	if !held.endpoint.Gone {
 		held.heard = now
 		r.end(now, held)
+		r.relay(held)
 	}
 	return held.changed
 }
@@ -230,7 +291,8 @@
 // quiet reports whether new flows avoid an endpoint, since heartbeats are
 // missing or another one claims its address.
 func (r *Registry) quiet(now time.Time, held *record) bool {
-	return !held.endpoint.Gone && (now.Sub(held.heard) > r.span(silentBeats) || r.doubted(held))
+	missing := now.Sub(held.heard) - (r.late - held.late)
+	return !held.endpoint.Gone && (missing > r.span(silentBeats) || r.doubted(held))
 }
 
 // setSilent notes a change of silence under the registry's present number.
@@ -244,9 +306,22 @@
 	r.vacate(held)
 	r.digest.Toggle(id, held.sum)
 	r.changes.Remove(held.inChanges)
-	r.beats.Remove(held.inBeats)
+	if held.inBeats != nil {
+		r.beats.Remove(held.inBeats)
+	}
+	if name, _ := splitIncarnation(id); r.newest[name] == held {
+		delete(r.newest, name)
+	}
 }
 
+// Digest sums up what is known.
+func (r *Registry) Digest() Digest { return r.digest }
+
+// Excuse takes that this process stood still for a span. It counts for no endpoint's
+// silence: heartbeats wait meanwhile, or go elsewhere, and that this process is late is
+// the likelier cause than thousands of endpoints being so.
+func (r *Registry) Excuse(span time.Duration) { r.late += span }
+
 // Whole reports whether every endpoint has had the time to send a heartbeat
 // since the registry began; until then a missing one means nothing.
 func (r *Registry) Whole(now time.Time) bool {
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -4,11 +4,16 @@
 	"container/list"
 	"iter"
 	"net/netip"
+	"slices"
 	"time"
 
 	"oxbowsaddle/internal/wire"
 )
 
+// sumsMost is how many sums are told at once: those of more endpoints are more than the
+// digest, and come while a fleet starts, when the entry is about to be told most of them.
+const sumsMost = 40
+
 // Changes returns the records that changed after a number, for an entry, the
 // last one first. Its work grows with their number, not with that of all.
 func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
@@ -21,16 +26,41 @@
 
 // ChangesBriefly returns what has changed after a number for an entry that
 // another control instance tells every record: only sums, but whole what they do not
-// show: that an endpoint fell silent, or no longer is, which is this registry's own
-// view, and that it became cold.
+// show, that it became cold, and by id that an endpoint fell silent, or no longer is, which is this
+// registry's own view. Where more than sumsMost records have changed it leaves out the sums
+// and tells the digest.
 func (r *Registry) ChangesBriefly(now time.Time, after uint64) *wire.Reports {
 	out := r.emptyReports(now)
 	for held := range r.changedAfter(after) {
-		if held.viewChanged > after {
+		id := held.endpoint.ID
+		if held.sumChanged > after {
+			out.Sums = append(out.Sums, &wire.RecordSum{Id: id, Sum: held.sum})
+		}
+		switch {
+		case held.viewChanged <= after:
+		case held.cold(now):
 			out.Endpoints = append(out.Endpoints, message(now, held))
-			continue
+		case held.silent:
+			out.Silent = append(out.Silent, id)
+		default:
+			out.Heard = append(out.Heard, id)
+		}
+	}
+	if len(out.Sums) > sumsMost {
+		out.Sums, out.Digest = nil, slices.Clone(r.digest[:])
+	}
+	return out
+}
+
+// View returns the digest of what is known, and which endpoints are silent, for an entry
+// that is told briefly from now on.
+func (r *Registry) View(now time.Time) *wire.Reports {
+	out := r.emptyReports(now)
+	out.Digest = slices.Clone(r.digest[:])
+	for held := range r.changedAfter(0) {
+		if held.silent {
+			out.Silent = append(out.Silent, held.endpoint.ID)
 		}
-		out.Sums = append(out.Sums, &wire.RecordSum{Id: held.endpoint.ID, Sum: held.sum})
 	}
 	return out
 }
@@ -50,7 +80,7 @@
 // says: the parts on which both differ, and of the others what is silent or cold.
 func (r *Registry) Lacking(now time.Time, known Digest) *wire.Reports {
 	out := r.emptyReports(now)
-	out.Same = r.digest.same(&known)
+	out.Same = r.digest.Same(&known)
 	for held := range r.changedAfter(0) {
 		if held.silent || held.cold(now) || out.Same&PartBit(held.endpoint.ID) == 0 {
 			m := message(now, held)
@@ -68,7 +98,7 @@
 func (r *Registry) Beats(now time.Time, after uint64) *wire.Reports {
 	out := r.emptyReports(now)
 	for held := range r.heardAfter(after) {
-		if held.changed > after {
+		if held.peersWhole > after {
 			out.Endpoints = append(out.Endpoints, message(now, held))
 			continue
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -307,3 +307,8 @@
 	}
 	return entries, true
 }
+
+// Follows reports whether this instance has heard the leader within a lease.
+func (r *Replica) Follows(now time.Time) bool {
+	return r.role == Follower && r.leader != "" && now.Before(r.promised)
+}
--- a/internal/steer/learn.go
+++ b/internal/steer/learn.go
@@ -18,14 +18,13 @@
 	s.learnSame(now, r, reports.Same)
 	for _, m := range reports.Endpoints {
 		s.learn(now, registry.FromMessage(m))
-		if b := s.byID[m.Id]; b != nil {
-			was := b.silent
-			r.say(m.Id, m.Silent)
-			s.settleSilence(now, b)
-			if was && !b.silent {
-				s.heardAgain(now, b)
-			}
-		}
+		s.learnSilence(now, r, m.Id, m.Silent)
+	}
+	for _, id := range reports.Silent {
+		s.learnSilence(now, r, id, true)
+	}
+	for _, id := range reports.Heard {
+		s.learnSilence(now, r, id, false)
 	}
 	s.whole = s.whole || reports.Whole
 	for _, m := range reports.Sums {
@@ -36,6 +35,20 @@
 	return lacking
 }
 
+// learnSilence takes whether a control instance calls an endpoint silent.
+func (s *Steerer) learnSilence(now time.Time, r *reporter, id string, silent bool) {
+	b := s.byID[id]
+	if b == nil {
+		return
+	}
+	was := b.silent
+	r.say(id, silent)
+	s.settleSilence(now, b)
+	if was && !b.silent {
+		s.heardAgain(now, b)
+	}
+}
+
 // learnSum takes what a control instance knows of an endpoint by its sum; it
 // reports false where this entry must ask for more.
 func (s *Steerer) learnSum(now time.Time, r *reporter, m *wire.RecordSum) bool {
@@ -192,3 +205,19 @@
 		delete(s.byAddr, b.Addr)
 	}
 }
+
+// LearnDigest takes what a control instance that tells this entry briefly knows of all
+// endpoints, in sum. It reports whether this entry must ask for what differs: for a part
+// that has not changed there since the last digest, and that differed then too. While
+// many change, no part is ever the same at two of them.
+func (s *Steerer) LearnDigest(now time.Time, source string, digest registry.Digest) (behind bool) {
+	r := s.reporterOf(source)
+	for i, sum := range digest {
+		differs := sum != s.digest[i]
+		behind = behind || differs && r.differed[i] && sum == r.digest[i]
+		r.differed[i] = differs
+	}
+	r.digest = digest
+	s.learnSame(now, r, s.digest.Same(&digest))
+	return behind
+}
--- a/internal/steer/reporter.go
+++ b/internal/steer/reporter.go
@@ -1,5 +1,7 @@
 package steer
 
+import "oxbowsaddle/internal/registry"
+
 // reporter is what one control instance says of who is silent. One that has just started
 // knows endpoints from before, and cannot say yet which of them it hears: until it has
 // had the time, it has a say only in who is silent. After a loss of power in a failure
@@ -8,6 +10,9 @@
 	vouches bool
 	silent  map[string]bool // by endpoint, of those that it has a say in
 	unsure  map[string]bool // endpoints that it knows and may hear
+	digest  registry.Digest // the last that it told
+	// differed is in which parts of it this entry knew something else.
+	differed [len(registry.Digest{})]bool
 }
 
 // reporterOf returns what a control instance says.
