--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,6 +56,7 @@
 		timings   controlTimings
 		peers     *peerLinks
 		doubts    *doubtBoard
+		malformed *malformedCalls
 		judging   sync.Mutex // held while outliers is used
 		outliers  *outlier.Tracker
 
@@ -76,7 +77,7 @@
 	control := &Control{
 		config: c, calls: make(chan func(time.Time), queue), waiting: map[uint64]chan bool{},
 		endpoints: newEndpointList(c), entries: newEntryList(c.Now), timings: newControlTimings(),
-		outliers: outlier.New(), doubts: newDoubtBoard(c.Now),
+		outliers: outlier.New(), doubts: newDoubtBoard(c.Now), malformed: newMalformedCalls(),
 	}
 	control.endpoints.setRelay(false) // until it votes
 	control.firstList = &firstList{endpoints: control.endpoints}
--- a/internal/node/counts.go
+++ b/internal/node/counts.go
@@ -88,7 +88,7 @@
 	if s.Current {
 		current = 1
 	}
-	return []figure{
+	return append([]figure{
 		{"oxbowsaddle_log_term", s.Term},
 		{"oxbowsaddle_log_commit", s.Commit},
 		{"oxbowsaddle_log_current", current},
@@ -99,5 +99,5 @@
 		{"oxbowsaddle_document_version", s.Version},
 		{"oxbowsaddle_domains_evacuated", uint64(len(s.Evacuations.Domains()))},
 		{"oxbowsaddle_evacuations_revision", s.Evacuations.Revision()},
-	}
+	}, c.malformed.figures()...)
 }
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -120,6 +120,14 @@
 	return doc, elsewhere, err
 }
 
+// Malformed takes that a call which is to name an endpoint names none: which field is
+// wrong, and how.
+func (c *Control) Malformed(id, field, detail string) {
+	if leftOut, ok := c.malformed.take(field); ok {
+		c.config.Log.Warn("no endpoint named", "endpoint", id, "field", field, "error", detail, "left_out", leftOut)
+	}
+}
+
 // Heartbeat takes the heartbeat of an endpoint. That it is leaving is
 // acknowledged only once a majority of the voters knows; the error where they
 // do not within callMost is of kind NoQuorum.
