Rosters among control instances name all of them once a second only

Now one in five names all, the first of a link too; the others name the sender. What is said of others stays younger than the 2 s after which a voter counts as lost. Ruled out: naming all on change alone (an instance heard of by others only would be forgotten).

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,9 +12,16 @@
 	"oxbowsaddle/internal/wire"
 )
 
-// outboxSize bounds the log messages that wait for one peer; what finds it
-// full is lost, which the log bears.
-const outboxSize = 128
+const (
+	// outboxSize bounds the log messages that wait for one peer; what finds it
+	// full is lost, which the log bears.
+	outboxSize = 128
+	// wholeRosterEach is each how many rosters names all instances; the others name the
+	// sender alone, and show that it is alive. Told whole each time, rosters would grow
+	// with the cube of the number of instances. What is said of others is still younger
+	// than the time after which a voter counts as lost.
+	wholeRosterEach = 5
+)
 
 type (
 	// peerLinks holds the links of a control instance to the others.
@@ -36,6 +43,7 @@
 		doubts  chan *wire.Frame // for the entries of the other one
 		cancel  context.CancelFunc
 		redial  redial
+		rosters int // told on the present link
 	}
 )
 
@@ -98,6 +106,14 @@
 	}
 }
 
+// rosterFor returns the n-th roster that a link tells, of one that names all.
+func rosterFor(roster *wire.Roster, n int) *wire.Roster {
+	if n%wholeRosterEach == 1 || len(roster.Instances) == 0 {
+		return roster
+	}
+	return &wire.Roster{Instances: roster.Instances[:1]}
+}
+
 // spread queues a frame about doubts for every other instance; one whose queue is full
 // is left out.
 func (p *peerLinks) spread(frame *wire.Frame) {
@@ -149,6 +165,7 @@
 		return err
 	}
 	l.redial.reached()
+	l.rosters = 0
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
 	ctx, cancel := context.WithCancel(ctx)
@@ -231,7 +248,8 @@
 			if roster == nil {
 				return nil
 			}
-			return stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: roster}})
+			l.rosters++
+			return stream.Send(&wire.Frame{Body: &wire.Frame_Roster{Roster: rosterFor(roster, l.rosters)}})
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = ginkgo.Describe("the rosters that control instances tell each other", func() {
+	ginkgo.It("name all of them at first and often enough, and otherwise the sender alone", func() {
+		all := rosterOf("a:1", "b:1", "c:1")
+		whole := 0
+		for n := 1; n <= 4*wholeRosterEach; n++ {
+			told := rosterFor(all, n)
+			Expect(told.Instances[0].Address).To(Equal("a:1"))
+			if len(told.Instances) == len(all.Instances) {
+				whole++
+			} else {
+				Expect(told.Instances).To(HaveLen(1))
+			}
+		}
+		Expect(rosterFor(all, 1).Instances).To(HaveLen(3))
+		Expect(whole).To(Equal(4))
+		Expect(wholeRosterEach*frameEvery).To(BeNumerically("<=", time.Second), "within the time in which a voter must be heard of")
+	})
+
+	ginkgo.It("may name nobody while the disk fails", func() {
+		Expect(rosterFor(rosterOf(), 2).Instances).To(BeEmpty())
+	})
+})
