An endpoint that falls silent is told by its id to every entry

Cause: to the control instance that tells an entry whole records, a silence was one of them: 8,000 endpoints behind a cut, some 50 bytes each once compressed, to each entry, and again when they are heard. Brief links told ids already. Now both do, where nothing else has changed.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -95,7 +95,9 @@
 		silent := r.Changes(start, 0)
 		Expect(find(silent, "a").Silent).To(BeTrue())
 		r.Hear(start.Add(4*beat), endpoint("a", 2, nil))
-		Expect(find(r.Changes(start, silent.Number), "a").Silent).To(BeFalse())
+		again := r.Changes(start, silent.Number)
+		Expect(again.Heard).To(ConsistOf("a"))
+		Expect(again.Endpoints).To(BeEmpty(), "nothing else has changed of it")
 	})
 
 	It("forgets what has not been heard of for a flow's longest life", func() {
--- a/internal/registry/reports.go
+++ b/internal/registry/reports.go
@@ -15,15 +15,29 @@
 const sumsMost = 40
 
 // Changes returns the records that changed after a number, for an entry, the
-// last one first. Its work grows with their number, not with that of all.
+// last one first; of those that only fell silent, or no longer are, the id, since they
+// may be a failure domain's at once. Its work grows with their number, not with that of all.
 func (r *Registry) Changes(now time.Time, after uint64) *wire.Reports {
 	out := r.emptyReports(now)
 	for held := range r.changedAfter(after) {
-		out.Endpoints = append(out.Endpoints, message(now, held))
+		if held.sumChanged > after || held.cold(now) {
+			out.Endpoints = append(out.Endpoints, message(now, held))
+		} else {
+			noteSilence(out, held)
+		}
 	}
 	return out
 }
 
+// noteSilence adds whether an endpoint is silent to reports.
+func noteSilence(out *wire.Reports, held *record) {
+	if held.silent {
+		out.Silent = append(out.Silent, held.endpoint.ID)
+	} else {
+		out.Heard = append(out.Heard, held.endpoint.ID)
+	}
+}
+
 // ChangesBriefly returns what has changed after a number for an entry that
 // another control instance tells every record: only sums, but whole what they do not
 // show, that it became cold, and by id that an endpoint fell silent, or no longer is, which is this
@@ -40,10 +54,8 @@
 		case held.viewChanged <= after:
 		case held.cold(now):
 			out.Endpoints = append(out.Endpoints, message(now, held))
-		case held.silent:
-			out.Silent = append(out.Silent, id)
 		default:
-			out.Heard = append(out.Heard, id)
+			noteSilence(out, held)
 		}
 	}
 	if len(out.Sums) > sumsMost {
