--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -72,3 +73,47 @@
 		Expect(changed).NotTo(Receive())
 	})
 })
+
+var _ = ginkgo.Describe("a control instance that stood still", func() {
+	ginkgo.It("takes no endpoint away for that, and those that stay silent after it", func() {
+		const beat = time.Second
+		now := time.Unix(1000, 0)
+		l := newEndpointList(ControlConfig{Beat: beat, Log: log.New(io.Discard), Now: func() time.Time { return now }})
+		for n := range 100 {
+			l.hear(benchEndpoint(n))
+		}
+		silent := func() (n int) {
+			for _, m := range l.changesAfter(0).Endpoints {
+				if m.Silent {
+					n++
+				}
+			}
+			return n
+		}
+		// pass lets time pass, in which it looks for silent endpoints as often as it should.
+		pass := func(span time.Duration) {
+			for end := now.Add(span); now.Before(end); {
+				now = now.Add(frameEvery)
+				l.sweep(frameEvery)
+			}
+		}
+		pass(beat)
+		now = now.Add(3 * time.Second)
+		l.sweep(3 * time.Second)
+		Expect(silent()).To(BeZero())
+		pass(beat)
+		Expect(silent()).To(BeZero(), "the heartbeats that waited may still come")
+		pass(2 * beat)
+		Expect(silent()).To(Equal(100))
+	})
+
+	ginkgo.It("logs few lines of what many endpoints say, and how many it left out", func() {
+		var out bytes.Buffer
+		l := newEndpointList(ControlConfig{Beat: time.Second, Log: log.New(&out), Now: SteadyClock()})
+		for n := range 5 * endpointLinesAtOnce {
+			l.hear(benchEndpoint(n))
+		}
+		Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(BeNumerically("<", 2*endpointLinesAtOnce))
+		Expect(out.String()).To(ContainSubstring("left_out"))
+	})
+})
--- a/internal/steer/learn_test.go
+++ b/internal/steer/learn_test.go
@@ -108,6 +108,34 @@
 		Expect(s.byID["booking-4"].silent).To(BeFalse(), "c2 knows it and has not called it silent")
 	})
 
+	It("asks by the digest for what it lacks, once that has rested at whoever tells it", func() {
+		r := registry.New(registry.Config{Beat: time.Second}, start)
+		r.Merge(start, reports(report("booking", 1, nil), report("booking", 2, nil), report("documents", 3, nil), report("booking", 7, nil), report("booking", 8, nil)))
+		Expect(s.LearnDigest(start, "c2", r.Digest())).To(BeFalse(), "it may be on its way")
+		r.Merge(start, reports(report("booking", 7, func(m *wire.EndpointReport) { m.Gone = true })))
+		behind := s.LearnDigest(start, "c2", r.Digest())
+		Expect(behind).To(BeTrue(), "the other one is in a part that has rested")
+
+		s.Learn(start, "c1", r.Changes(start, 0))
+		Expect(s.LearnDigest(start, "c2", r.Digest())).To(BeFalse(), "it knows all")
+		r.Merge(start, reports(report("booking", 1, func(m *wire.EndpointReport) { m.Gone = true })))
+		Expect(s.LearnDigest(start, "c2", r.Digest())).To(BeFalse())
+		Expect(s.LearnDigest(start, "c2", r.Digest())).To(BeTrue())
+		s.Learn(start, "c2", r.Lacking(start, s.Digest()))
+		Expect(s.byID["booking-1"].Gone).To(BeTrue())
+		Expect(s.LearnDigest(start, "c2", r.Digest())).To(BeFalse())
+	})
+
+	It("takes who fell silent, and who is heard again, by their ids", func() {
+		s.Vouch(start, "c1")
+		s.Learn(start, "c1", reports(report("booking", 1, nil)))
+		s.Learn(start, "c1", &wire.Reports{Silent: []string{"booking-1", "unknown"}})
+		Expect(s.byID["booking-1"].silent).To(BeTrue())
+		s.Learn(start, "c1", &wire.Reports{Heard: []string{"booking-1", "unknown"}})
+		Expect(s.byID["booking-1"].silent).To(BeFalse())
+		Expect(s.byID).NotTo(HaveKey("unknown"))
+	})
+
 	It("asks for nothing that it knows to have ended, and for all that it takes for living", func() {
 		ended := &wire.Reports{Sums: []*wire.RecordSum{{Id: "booking-1", Sum: registry.Sum(registry.Endpoint{ID: "booking-1", Gone: true})}}}
 		Expect(s.Learn(start, "c2", ended)).To(ConsistOf("booking-1"))
