--- a/internal/cmd/cmd_entry.go
+++ b/internal/cmd/cmd_entry.go
@@ -44,10 +44,19 @@
 	return c
 }
 
+// instanceRun runs an instance and tells how that ended.
+type instanceRun struct {
+	instance *instance.Instance
+	ended    chan<- error
+}
+
+// run runs it until it ends.
+func (r instanceRun) run(ctx context.Context) { r.ended <- r.instance.Run(ctx) }
+
 // runUntilStopped runs the instance; at a signal it stops as planned.
 func runUntilStopped(signalled context.Context, i *instance.Instance, patience time.Duration) error {
 	ended := make(chan error, 1)
-	go func() { ended <- i.Run(context.WithoutCancel(signalled)) }()
+	go instanceRun{i, ended}.run(context.WithoutCancel(signalled))
 	select {
 	case err := <-ended:
 		return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -112,7 +112,7 @@
 		return Report{}, err
 	}
 	done := make(chan struct{})
-	go func() { callers.Wait(); close(done) }()
+	go callerWait{&callers, done}.run()
 	const patience = 12 * time.Second
 	select {
 	case <-done:
@@ -243,31 +243,17 @@
 	i.Kill()
 	time.Sleep(fabricLag)
 	r.fleet.fabric.RemoveEntry(victim)
-	const downFor = 3 * time.Second
-	go func() {
-		time.Sleep(downFor)
-		if ctx.Err() == nil {
-			_ = r.fleet.start(ctx, victim)
-		}
-	}()
+	go outage{r.fleet, victim}.run(ctx)
 	return nil
 }
 
 // cutDomain cuts the last failure domain off for a while.
 func (r *run) cutDomain(ctx context.Context) error {
-	const lasts = 6 * time.Second // longer than a domain waits before it serves by itself
 	instances := r.fleet.settings.Instances
 	domain := instances[len(instances)-1].Domain
 	r.fleet.ledger.Unplanned()
 	r.fleet.cutOff(domain, true)
-	go func() {
-		select {
-		case <-time.After(lasts):
-		case <-ctx.Done():
-		}
-		r.fleet.ledger.Unplanned()
-		r.fleet.cutOff(domain, false)
-	}()
+	go domainCut{r.fleet, domain}.run(ctx)
 	return nil
 }
 
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -92,11 +92,14 @@
 	mux.HandleFunc("/health", b.health)
 	b.config.HealthAddr = netip.MustParseAddrPort(listener.Addr().String())
 	b.http = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = b.http.Serve(listener) }()
+	go b.runHealth(listener)
 	go b.run()
 	return b, nil
 }
 
+// runHealth answers health checks until the server is closed.
+func (b *Backend) runHealth(listener net.Listener) { _ = b.http.Serve(listener) }
+
 // Name returns the endpoint's name.
 func (b *Backend) Name() string { return b.config.Name }
 
