An entry rests longer between attempts at an instance that refuses, while others tell it

Cause: a refusal comes at once, and the next attempt followed after 20 ms. An entry that is cut off from the instances that it prefers keeps up to five attempts going beside its links: 200 entries behind a cut that refuses would make 50,000 connections a second. It grows with entries times the instances out of reach.

The pause doubles to 0.64 s while any link tells something; with none it stays at 20 ms.

--- a/internal/node/redial.go
+++ b/internal/node/redial.go
@@ -14,14 +14,17 @@
 	dialEvery = 40 * time.Millisecond
 	// dialMost is how long attempts may take, for slow hosts.
 	dialMost = 500 * time.Millisecond
-	// redialAfter is the pause between two attempts at one address.
+	// redialAfter is the pause between two attempts at one address; while others are linked
+	// it doubles with each, up to redialMost: many entries try an instance that refuses.
 	redialAfter = 20 * time.Millisecond
+	redialMost  = 640 * time.Millisecond
 )
 
 type (
 	// redial paces the attempts at one address.
 	redial struct {
 		timeout time.Duration // of the next attempt, 0 for dialEvery
+		pause   time.Duration // after the last attempt, 0 before the first
 	}
 
 	// dialAttempt is one of several attempts beside each other.
@@ -53,8 +56,19 @@
 	return dial(ctx, address, now)
 }
 
+// rest returns how long to wait after an attempt that failed, where nobody is linked or
+// others are.
+func (r *redial) rest(alone bool) time.Duration {
+	if alone {
+		r.pause = 0
+		return redialAfter
+	}
+	r.pause = min(max(redialAfter, 2*r.pause), redialMost)
+	return r.pause
+}
+
 // reached makes the next attempt a first one again.
-func (r *redial) reached() { r.timeout = 0 }
+func (r *redial) reached() { r.timeout, r.pause = 0, 0 }
 
 // dialOverlapping makes attempts beside each other for dialMost in all.
 func dialOverlapping(ctx context.Context, dial Dialer, address string) (net.Conn, error) {
--- a/internal/node/redial_test.go
+++ b/internal/node/redial_test.go
@@ -113,4 +113,22 @@
 		_, _ = pace.dial(context.Background(), dial, "there", false)
 		Expect(timeouts).To(Equal([]time.Duration{dialEvery, 2 * dialEvery, 4 * dialEvery, 8 * dialEvery, dialMost, dialMost, dialEvery}))
 	})
+
+	ginkgo.It("pause longer after each failure while others are linked, and no longer than a bound", func() {
+		var r redial
+		Expect(r.rest(true)).To(Equal(redialAfter))
+		Expect(r.rest(true)).To(Equal(redialAfter), "nothing is told meanwhile")
+		last := time.Duration(0)
+		for range 3 {
+			pause := r.rest(false)
+			Expect(pause).To(BeNumerically(">", last))
+			last = pause
+		}
+		for range 9 {
+			last = r.rest(false)
+		}
+		Expect(last).To(Equal(redialMost))
+		r.reached()
+		Expect(r.rest(false)).To(Equal(redialAfter))
+	})
 })
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -249,7 +249,7 @@
 		}
 		w.fail(all, address, link)
 		if fault.KindOf(err) == fault.Unreachable {
-			time.Sleep(redialAfter)
+			time.Sleep(pace.rest(!w.entry.linked()))
 		}
 	}
 }
