A leave that names no start ends the newest one only if that said that it leaves

Cause: the message of an end carries no birth. Held back until after the next start under its id it ended that start, for good, and had its open flows reset.

Ruled out: refusing such messages (the endpoint waits); taking the newest always (as it was). An endpoint whose leave was never heard falls silent instead, as one that crashes. Also: what is remembered of addresses out of reach goes with their names.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -174,6 +175,7 @@
 			delete(w.links, address)
 		}
 	}
+	maps.DeleteFunc(w.lost, func(address string, _ time.Time) bool { return !named[address] })
 }
 
 // choose returns where links are kept to: while nothing is told by any, also to all seeds
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -141,6 +141,14 @@
 		Expect(linked()).To(Equal([]string{nowhere(1), nowhere(2)}))
 	})
 
+	ginkgo.It("remember nothing of an address that nobody names any more", func() {
+		w.takeRoster(ctx, nowhere(1), rosterOf(nowhere(3)))
+		w.fail(ctx, nowhere(3), w.links[nowhere(3)])
+		Expect(w.lost).To(HaveKey(nowhere(3)))
+		w.takeRoster(ctx, nowhere(1), nil)
+		Expect(w.lost).To(BeEmpty())
+	})
+
 	ginkgo.It("follow other seeds", func() {
 		w.setSeeds(ctx, []netip.AddrPort{netip.MustParseAddrPort(nowhere(5))})
 		Expect(linked()).To(Equal([]string{nowhere(5)}))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -237,10 +237,15 @@
 }
 
 // Leave takes the message of an endpoint that it ends, and returns the number of the
-// change. Where several incarnations share its id, that of the newest one ends: such a
-// message does not say whose it is, and an earlier one has ended anyway.
+// change. Where several incarnations share its id the message does not say whose it is: it is the
+// newest one's if that one said that it leaves. Else it may be an earlier one's, held back
+// until after the next start, whose open flows it must not end; one that ended without
+// having been heard to leave falls silent.
 func (r *Registry) Leave(now time.Time, id string) uint64 {
 	if newest := r.newest[id]; newest != nil {
+		if !newest.endpoint.Leaving {
+			return max(newest.changed, newest.peersChanged)
+		}
 		id = newest.endpoint.ID
 	}
 	number := r.leave(now, Endpoint{ID: id})
