What came of an offer to the log is not shared with a caller that has gone

Cause: the race detector, run on internal/node for the first time in this work, found the loop writing results that a caller which had been turned away was returning: at worst an address for a refusal without one. Two tests shared a flag and a map without a lock.

--- a/internal/node/announcements_test.go
+++ b/internal/node/announcements_test.go
@@ -99,7 +99,11 @@
 		Expect(err).NotTo(HaveOccurred())
 		e.hearAnnouncement(ctx, raw)
 	}
-	sought := func() []string { return slices.Sorted(maps.Keys(e.watch.links)) }
+	sought := func() []string {
+		e.watch.mu.Lock()
+		defer e.watch.mu.Unlock()
+		return slices.Sorted(maps.Keys(e.watch.links))
+	}
 
 	ginkgo.It("leave room for the seeds, however many come", func() {
 		for n := 3; n < 30; n++ {
@@ -120,7 +124,9 @@
 	})
 
 	ginkgo.It("change nothing at an entry that is linked", func() {
+		e.mu.Lock()
 		e.links["somewhere"] = &entryLink{}
+		e.mu.Unlock()
 		hear(nowhere(7))
 		Expect(sought()).NotTo(ContainElement(nowhere(7)))
 	})
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -54,20 +54,27 @@
 	return c.offerHere(ctx, func(now time.Time, d *directory.Directory) (uint64, bool, error) { return d.Put(now, doc) })
 }
 
+// offerOutcome is what came of an offer in the loop.
+type offerOutcome struct {
+	elsewhere string
+	err       error
+}
+
 // offerHere offers something to the log where this instance leads, and waits
 // until it is committed. What the loop comes to only after the caller was turned
 // away is not offered: it may be out of turn by then.
 func (c *Control) offerHere(ctx context.Context, offer func(now time.Time, d *directory.Directory) (index uint64, done bool, err error)) (elsewhere string, err error) {
 	committed := make(chan bool, 1)
+	outcome := &offerOutcome{} // the loop's until the call returns without an error, and for good where it does not
 	callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
 		if ctx.Err() != nil {
-			err = fault.New(fault.NoQuorum, "the caller has gone")
+			outcome.err = fault.New(fault.NoQuorum, "the caller has gone")
 			return
 		}
 		index, done, offerErr := offer(now, d)
 		switch {
 		case offerErr != nil:
-			elsewhere, err = c.leaderFront(d), offerErr
+			outcome.elsewhere, outcome.err = c.leaderFront(d), offerErr
 		case done:
 			committed <- true
 		default:
@@ -77,8 +84,8 @@
 	if callErr != nil {
 		return "", callErr
 	}
-	if err != nil {
-		return elsewhere, err
+	if outcome.err != nil {
+		return outcome.elsewhere, outcome.err
 	}
 	select {
 	case ok := <-committed:
@@ -105,17 +112,18 @@
 	ctx, cancel := context.WithTimeout(ctx, callMost)
 	defer cancel()
 	elsewhere, err = c.atLeader(ctx, func() (string, error) {
-		var front string
-		var readErr error
+		var read *document.Document
+		outcome := &offerOutcome{}
 		callErr := c.call(ctx, func(now time.Time, d *directory.Directory) {
-			if doc, readErr = d.Read(now); readErr != nil {
-				front = c.leaderFront(d)
+			if read, outcome.err = d.Read(now); outcome.err != nil {
+				outcome.elsewhere = c.leaderFront(d)
 			}
 		})
 		if callErr != nil {
 			return "", callErr
 		}
-		return front, readErr
+		doc = read
+		return outcome.elsewhere, outcome.err
 	})
 	return doc, elsewhere, err
 }
--- a/internal/node/questions_test.go
+++ b/internal/node/questions_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,13 +17,13 @@
 
 var _ = ginkgo.Describe("questions to endpoints", func() {
 	at := netip.MustParseAddrPort("127.0.0.1:1")
-	var reached bool
+	var reached atomic.Bool
 	var e *Entry
 	ginkgo.BeforeEach(func() {
-		reached = false
+		reached.Store(false)
 		e = NewEntry(EntryConfig{
 			Log: log.New(io.Discard), Now: SteadyClock(), Dial: DialTCP,
-			Knock: func(context.Context, netip.AddrPort, time.Duration) bool { return reached },
+			Knock: func(context.Context, netip.AddrPort, time.Duration) bool { return reached.Load() },
 		})
 	})
 
@@ -33,7 +34,7 @@
 		Expect(e.ask(steer.Question{ID: "a", Addr: at})).To(BeFalse())
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		reached = true
+		reached.Store(true)
 		go func() { _ = e.questionLoop(ctx, nil) }()
 		Eventually(func() int { return len(e.questions) }, patience).Should(BeZero())
 	})
