Reverted: connections of callers take half of the descriptors at most

Cause that was assumed: after all control instances were killed the first one back is called by 10,000 endpoints and has no descriptor left for links.

--- a/internal/cmd/cmd_platform.go
+++ b/internal/cmd/cmd_platform.go
@@ -81,7 +81,7 @@
 	running, end := context.WithCancel(running)
 	defer end()
 	group.Go(func() error { return entry.Run(running) })
-	group.Go(func() error { return serveHTTP(running, s.Readiness, platform.ReadinessHandler(entry.Ready), 0) })
+	group.Go(func() error { return serveHTTP(running, s.Readiness, platform.ReadinessHandler(entry.Ready)) })
 	group.Go(func() error { return serveMetrics(running, p, entry.WriteMetrics) })
 	group.Go(func() error {
 		return p.settingsLoop(running, func(seeds []netip.AddrPort) { entry.SetSeeds(running, seeds) })
@@ -119,7 +119,7 @@
 	})
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return control.Run(ctx) })
-	group.Go(func() error { return serveHTTP(ctx, s.Control, platform.ControlHandler(control), s.Descriptors) })
+	group.Go(func() error { return serveHTTP(ctx, s.Control, platform.ControlHandler(control)) })
 	group.Go(func() error { return serveMetrics(ctx, p, control.WriteMetrics) })
 	group.Go(func() error {
 		return p.settingsLoop(ctx, func(seeds []netip.AddrPort) { control.SetSeeds(ctx, seeds) })
--- a/internal/cmd/platform_http.go
+++ b/internal/cmd/platform_http.go
@@ -26,29 +26,28 @@
 
 // serveMetrics serves figures; a port that is taken costs the figures only.
 func serveMetrics(ctx context.Context, p platformProcess, write func(io.Writer)) error {
-	if err := serveHTTP(ctx, p.settings.Metrics, platform.MetricsHandler(write), 0); ctx.Err() == nil {
+	if err := serveHTTP(ctx, p.settings.Metrics, platform.MetricsHandler(write)); ctx.Err() == nil {
 		p.log.Error("no metrics", "address", p.settings.Metrics, "error", err)
 	}
 	return nil
 }
 
-// serveHTTP serves at an address until the context ends, in a process that may have so
-// many descriptors, 0 for no limit; an error is of kind AddressInUse where the address cannot be had.
-func serveHTTP(ctx context.Context, addr netip.AddrPort, handler http.Handler, descriptors int) error {
+// serveHTTP serves at an address until the context ends; an error is of kind
+// AddressInUse where the address cannot be had.
+func serveHTTP(ctx context.Context, addr netip.AddrPort, handler http.Handler) error {
 	listener, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return fault.Wrap(fault.AddressInUse, err)
 	}
-	server := newHTTPServer(handler, descriptors)
+	server := newHTTPServer(handler)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	return server.Serve(listener)
 }
 
 // newHTTPServer returns a server that no connection holds up for ever.
-func newHTTPServer(handler http.Handler, descriptors int) *http.Server {
+func newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: httpCallTimeout, WriteTimeout: httpCallTimeout, IdleTimeout: keptOpen,
-		ConnState: newOpenConns(descriptors).note,
 	}
 }
--- a/internal/cmd/platform_http_test.go
+++ b/internal/cmd/platform_http_test.go
@@ -13,7 +13,7 @@
 // end it by itself, since no packet may ever come.
 func TestSilentCallEnds(t *testing.T) {
 	g := gomega.NewWithT(t)
-	server := newHTTPServer(http.NewServeMux(), 0)
+	server := newHTTPServer(http.NewServeMux())
 	for _, bound := range []time.Duration{server.ReadHeaderTimeout, server.ReadTimeout, server.WriteTimeout, server.IdleTimeout} {
 		g.Expect(bound).To(gomega.BeNumerically(">", 0))
 	}
