One bound of log lines, one way to tell a record whole, one plan of links

Cause: read as a newcomer, the change held the same counting of lines left out twice (once with a limiter made at the first line), telling peers all of a record under a new number three times, and the choice of planned links twice. Each stands once now.

--- a/internal/node/endpointlines.go
+++ b/internal/node/endpointlines.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"golang.org/x/time/rate"
 
 	"oxbowsaddle/internal/registry"
 )
@@ -18,21 +17,20 @@
 
 // endpointLines logs what becomes known of endpoints, within bounds.
 type endpointLines struct {
-	log     *log.Logger
-	limiter *rate.Limiter
-	leftOut uint64
+	log   *log.Logger
+	lines *lineBound
+}
+
+func newEndpointLines(logger *log.Logger) *endpointLines {
+	return &endpointLines{logger, newLineBound(endpointLinesPerSecond, endpointLinesAtOnce)}
 }
 
 // changed logs a change of an endpoint that was heard age ago.
 func (l *endpointLines) changed(e registry.Endpoint, silent bool, age time.Duration) {
-	if l.limiter == nil {
-		l.limiter = rate.NewLimiter(endpointLinesPerSecond, endpointLinesAtOnce)
-	}
-	if !l.limiter.Allow() {
-		l.leftOut++
+	leftOut, logged := l.lines.take()
+	if !logged {
 		return
 	}
 	l.log.Info("endpoint", "endpoint", e.ID, "service", e.Service, "address", e.Addr, "domain", e.Domain, "sequence", e.Sequence,
-		"leaving", e.Leaving, "gone", e.Gone, "silent", silent, "age", age, "left_out", l.leftOut)
-	l.leftOut = 0
+		"leaving", e.Leaving, "gone", e.Gone, "silent", silent, "age", age, "left_out", leftOut)
 }
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -24,7 +24,7 @@
 }
 
 func newEndpointList(c ControlConfig) *endpointList {
-	lines := &endpointLines{log: c.Log}
+	lines := newEndpointLines(c.Log)
 	l := &endpointList{
 		now: c.Now, registry: registry.New(registry.Config{Beat: c.Beat, Changed: lines.changed}, c.Now()), confirmed: map[string]uint64{},
 	}
--- a/internal/node/malformed.go
+++ b/internal/node/malformed.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 	"sync"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -20,12 +18,11 @@
 type malformedCalls struct {
 	mu      sync.Mutex
 	byField map[string]uint64
-	limiter *rate.Limiter
-	leftOut uint64 // lines, since the last one
+	lines   *lineBound
 }
 
 func newMalformedCalls() *malformedCalls {
-	return &malformedCalls{byField: map[string]uint64{}, limiter: rate.NewLimiter(malformedLinesPerSecond, malformedLinesAtOnce)}
+	return &malformedCalls{byField: map[string]uint64{}, lines: newLineBound(malformedLinesPerSecond, malformedLinesAtOnce)}
 }
 
 // take counts one call. It reports whether it is logged, and how many were not since the
@@ -34,12 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.byField[field]++
-	if !m.limiter.Allow() {
-		m.leftOut++
-		return 0, false
-	}
-	leftOut, m.leftOut = m.leftOut, 0
-	return leftOut, true
+	return m.lines.take()
 }
 
 // figures returns the counts.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -177,10 +177,15 @@
 	maps.DeleteFunc(w.lost, func(address string, _ time.Time) bool { return !named[address] })
 }
 
+// planned returns where links are to be used, those out of use beside them.
+func (w *watch) planned(now time.Time, candidates []attachment.Candidate) []string {
+	return w.plan.Choose(candidates, func(address string) bool { return w.usable(now, address) })
+}
+
 // choose returns where links are kept to: while nothing is told by any, also to all seeds
 // and to whatever has announced itself lately.
 func (w *watch) choose(now time.Time, candidates []attachment.Candidate) []string {
-	chosen := w.plan.Choose(candidates, func(address string) bool { return w.usable(now, address) })
+	chosen := w.planned(now, candidates)
 	if w.told() {
 		return chosen
 	}
@@ -220,8 +225,7 @@
 		return false
 	}
 	now := w.entry.config.Now()
-	planned := w.plan.Choose(w.candidates(now), func(address string) bool { return w.usable(now, address) })
-	if !slices.Contains(planned, address) && (!waited || w.told()) {
+	if !slices.Contains(w.planned(now, w.candidates(now)), address) && (!waited || w.told()) {
 		return false
 	}
 	link.used, link.behind = true, time.Time{}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -102,8 +102,7 @@
 	}
 	for _, held := range r.records {
 		if held.untold {
-			r.number++
-			r.noteForPeers(held, true)
+			r.tellWhole(held)
 		}
 	}
 }
@@ -117,9 +116,7 @@
 	case taken:
 		r.noteForPeers(held, false)
 	case held != nil && held.untold: // whoever told of it may have told nobody else
-		r.number++
-		r.noteForPeers(held, true)
-		number = r.number
+		number = r.tellWhole(held)
 	}
 	return number, taken
 }
@@ -195,6 +192,13 @@
 	}
 }
 
+// tellWhole has peers told all of a record under a number of its own, which it returns.
+func (r *Registry) tellWhole(held *record) uint64 {
+	r.number++
+	r.noteForPeers(held, true)
+	return r.number
+}
+
 // noteForPeers notes that peers must learn of the record: that it was heard, or, where
 // they may not know the rest, all of it.
 func (r *Registry) noteForPeers(held *record, whole bool) {
@@ -250,9 +254,7 @@
 	}
 	number := r.leave(now, Endpoint{ID: id})
 	if held := r.records[id]; held.untold {
-		r.number++
-		r.noteForPeers(held, true)
-		number = r.number
+		number = r.tellWhole(held)
 	}
 	return number
 }
