--- a/review/_drive/late.go
+++ b/review/_drive/late.go
@@ -168,7 +168,7 @@
 	for !live.lastBeat().After(before) {
 		time.Sleep(5 * time.Millisecond)
 	}
-	time.Sleep(220 * time.Millisecond)
+	time.Sleep(190 * time.Millisecond)
 	arrived := time.Now()
 	r.record.printf("%s has been free of disruption for %.1f s", live.id, time.Since(t0.Add(cutLength)).Seconds())
 	if r.trouble {
