--- a/review/_drive/evacuation.go
+++ b/review/_drive/evacuation.go
@@ -12,9 +12,9 @@
 const (
 	bookingService   = "booking"
 	documentsService = "documents"
-	documentsRoute   = "198.18.0.2"
+	documentsRoute   = "127.198.0.2"
 	documentsPort    = 8443
-	bookingRoute     = "198.18.0.1"
+	bookingRoute     = "127.198.0.1"
 	bookingPort      = 8080
 	evacuatedZone    = "almadies"
 )
--- a/review/_drive/foreign.go
+++ b/review/_drive/foreign.go
@@ -53,7 +53,7 @@
 	}
 	time.Sleep(5 * time.Second)
 	serve := func(m *machine, id string) bool {
-		fl := c.openFlow(m, "198.18.0.1", 8080)
+		fl := c.openFlow(m, "127.198.0.1", 8080)
 		if open, _, _ := fl.state(); !open {
 			r.record.printf("flow of port %d through %s did not open", fl.port, m.name)
 			return false
--- a/review/_drive/late.go
+++ b/review/_drive/late.go
@@ -11,7 +11,7 @@
 
 // The route and the service of case 2.
 const (
-	deskRoute   = "198.18.0.1"
+	deskRoute   = "127.198.0.1"
 	deskPort    = 8080
 	deskService = "desk"
 )
@@ -168,7 +168,7 @@
 	for !live.lastBeat().After(before) {
 		time.Sleep(5 * time.Millisecond)
 	}
-	time.Sleep(190 * time.Millisecond)
+	time.Sleep(225 * time.Millisecond)
 	arrived := time.Now()
 	r.record.printf("%s has been free of disruption for %.1f s", live.id, time.Since(t0.Add(cutLength)).Seconds())
 	if r.trouble {
--- a/review/_drive/majority.go
+++ b/review/_drive/majority.go
@@ -8,7 +8,7 @@
 
 // configuration returns a configuration of a version; its time-out depends on the version.
 func configuration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-a","host":"198.18.0.1","pathPrefix":"/8080/","routeType":"unsafe","timeoutMs":%d,"targetLatencyMs":120,"priority":1,"service":"desk","maxAttempts":2}],"services":[{"name":"desk","healthCheckPath":"/health","maxConnections":2000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, 2000+version)
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-a","host":"127.198.0.1","pathPrefix":"/8080/","routeType":"unsafe","timeoutMs":%d,"targetLatencyMs":120,"priority":1,"service":"desk","maxAttempts":2}],"services":[{"name":"desk","healthCheckPath":"/health","maxConnections":2000,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, version, 2000+version)
 }
 
 // putUntilAcknowledged sends a configuration to the machines in turn, unchanged, until it is
