--- a/review/_drive/majority.go
+++ b/review/_drive/majority.go
@@ -39,7 +39,7 @@
 	const (
 		secondKill   = 1500 * time.Millisecond
 		change       = 2400 * time.Millisecond
-		downTime     = 3500 * time.Millisecond // of the two machines that are killed
+		downTime     = 2800 * time.Millisecond // of the two machines that lose power
 		wipeDownTime = 3 * time.Second         // of the machine that loses its disk
 		recovery     = 12 * time.Second        // recoveryS
 		margin       = 28 * time.Second
@@ -101,9 +101,9 @@
 		}
 		return m.start()
 	}
-	kill(first, "kill (disk remains)")
+	kill(first, "power lost (disk remains)")
 	at(secondKill)
-	kill(second, "kill (disk remains)")
+	kill(second, "power lost (disk remains)")
 	at(change)
 	if !putUntilAcknowledged(r, []*machine{leader}, 2, time.Second) {
 		return unable, fmt.Errorf("the change was not acknowledged")
