Control instances reject endpoints whose texts are not UTF-8

Cause: platform/heartbeat.go took any bytes of the path for an id, the registry recorded it, and the id is a string of a protobuf message, whose encoding fails unless it is UTF-8. Links between control instances begin with all records, links to entries with those of a failure domain, and hints contain all: each ended or was not written, before a message of the replicated log was sent. A DELETE with such an id adds a record too and does the same. Texts of the body are not affected by that, as the JSON decoder replaces such bytes by U+FFFD, but an endpoint with an unreadable failure domain was used.

Change: the registry defines which texts a record may have, and a control instance rejects an endpoint or a leave with others, whichever adapter passes it in, before it is recorded. The id of a rejected call is logged with escapes and cut, as it may have any bytes and length.

Why this works: all other records come from messages or hints, which were decoded and therefore hold only UTF-8, so every record can be encoded.

--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	// leaderPollInterval is the time between two attempts at an order while no leader is
 	// known.
 	leaderPollInterval = 40 * time.Millisecond
+	// maxLoggedIDLength is how many characters of a malformed call's endpoint ID are logged.
+	maxLoggedIDLength = 64
 )
 
 // Put proposes a document and waits until it is committed, or until the version in force is
@@ -135,17 +138,22 @@
 }
 
 // Malformed counts and logs a call that does not identify an endpoint. field is the malformed
-// field, and detail says why it is malformed.
+// field, and detail says why it is malformed. The id is logged with escapes, since it may contain
+// any bytes.
 func (c *Control) Malformed(id, field, detail string) {
 	if dropped, ok := c.malformed.record(field); ok {
-		c.config.Log.Warn("no endpoint named", "endpoint", id, "field", field, "error", detail, "left_out", dropped)
+		c.config.Log.Warn("no endpoint named", "endpoint", fmt.Sprintf("%.*q", maxLoggedIDLength, id), "field", field, "error", detail, "left_out", dropped)
 	}
 }
 
 // Heartbeat records the heartbeat of an endpoint. If the endpoint is leaving, Heartbeat waits
 // until a majority of the voters has acknowledged that; the error is of kind NoQuorum if that
-// takes longer than callTimeout.
+// takes longer than callTimeout. If the endpoint is invalid, the error is of kind InvalidChange,
+// and nothing is recorded.
 func (c *Control) Heartbeat(ctx context.Context, e registry.Endpoint) error {
+	if err := e.Validate(); err != nil {
+		return err
+	}
 	revision := c.endpoints.heartbeat(e)
 	if !e.Leaving {
 		return nil
@@ -156,6 +164,9 @@
 // Leave records that an endpoint has ended, and waits until a majority of the voters has
 // acknowledged that. The error is as for Heartbeat.
 func (c *Control) Leave(ctx context.Context, id string) error {
+	if err := (registry.Endpoint{ID: id}).Validate(); err != nil {
+		return err
+	}
 	return c.awaitMajority(ctx, c.endpoints.leave(id))
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,9 @@
 	"container/list"
 	"net/netip"
 	"time"
+	"unicode/utf8"
+
+	"oxbowsaddle/internal/fault"
 )
 
 const (
@@ -88,6 +91,21 @@
 	}
 )
 
+// ValidText reports whether a text may be part of a record. Messages between instances
+// carry only UTF-8, and a record that cannot be encoded ends each link that it is sent on.
+func ValidText(text string) bool { return utf8.ValidString(text) }
+
+// Validate returns an error of kind InvalidChange unless ValidText holds for all texts of
+// the endpoint.
+func (e Endpoint) Validate() error {
+	for _, text := range []string{e.ID, e.Service, e.Domain} {
+		if !ValidText(text) {
+			return fault.New(fault.InvalidChange, "endpoint: %q is not UTF-8", text)
+		}
+	}
+	return nil
+}
+
 // New returns an empty registry.
 func New(c Config, now time.Time) *Registry {
 	return &Registry{
