Links and the log bound a change alike, so that an accepted one can be sent

What callers saw: a configuration of 4,160,950 bytes, which the API accepts (its bound is 4 MiB), was not acknowledged, and neither was any later change, nor was a read answered, for the 21 s that the test waited.

A log message holds the document and the text it was parsed from, and the library that reads messages ends the connection above 4 MiB. The leader sends the entry again on each new link, which ends again, so it neither commits anything nor keeps its lease, and each leader that takes the operator's next try is in the same state.

Change: the log rejects a command above 12 MiB, with 400 at the API, and links take twice that. The largest body gives a command below 9 MiB, since each route and service is shorter encoded than in JSON, so no configuration that was accepted before is rejected.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -28,6 +28,10 @@
 	Drift     = 30 * time.Millisecond // maximum clock drift over one lease
 )
 
+// MaxCommandSize is the maximum size of an encoded command in bytes. Other instances must
+// be able to receive a message that contains one.
+const MaxCommandSize = 12 << 20
+
 type (
 	// Config identifies a control instance.
 	Config struct {
--- a/internal/directory/state.go
+++ b/internal/directory/state.go
@@ -75,7 +75,8 @@
 
 // Put proposes a document. It is done at once if its version is not higher than
 // that of the document in force; otherwise the caller waits for index in
-// Ready.Done. The error is of kind NotCurrent if this instance does not lead.
+// Ready.Done. The error is of kind NotCurrent if this instance does not lead, and
+// InvalidChange if the document is too large for the log.
 func (d *Directory) Put(now time.Time, doc *document.Document) (index uint64, done bool, err error) {
 	if !d.replica.Current(now) {
 		return 0, false, fault.New(fault.NotCurrent, "%s does not lead", d.config.Self)
@@ -107,6 +108,9 @@
 	if err != nil {
 		return 0, fault.Wrap(fault.Internal, err)
 	}
+	if len(command) > MaxCommandSize {
+		return 0, fault.New(fault.InvalidChange, "the change takes %d bytes in the log, more than %d", len(command), MaxCommandSize)
+	}
 	if index, err = d.replica.Propose(now, command); err != nil {
 		return 0, err
 	}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -8,7 +8,10 @@
 
 	"golang.org/x/sys/unix"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
 
+	"oxbowsaddle/internal/directory"
 	"oxbowsaddle/internal/fault"
 	"oxbowsaddle/internal/wire"
 )
@@ -22,6 +25,10 @@
 	linkIdleTimeout = 1200 * time.Millisecond
 	// maxUnackedTime is how long sent data may remain unacknowledged by TCP.
 	maxUnackedTime = time.Second
+	// maxMessageSize bounds a message on a link in bytes. It exceeds the largest command of the
+	// log by far, since a message that the receiver rejects ends the link on each attempt to
+	// send it.
+	maxMessageSize = 2 * directory.MaxCommandSize
 )
 
 type (
@@ -69,10 +76,15 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// linkOptions returns the options for both ends of a link.
+func linkOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageSize}}
+}
+
 // openLink opens a link on a connection to a control instance, and returns the function that
 // closes it. The caller sends the hello. An error is of kind Unreachable.
 func openLink(ctx context.Context, raw net.Conn) (wire.DRPCDirectory_LinkClient, func(), error) {
-	conn := drpcconn.New(linkConn{raw})
+	conn := drpcconn.NewWithOptions(linkConn{raw}, drpcconn.Options{Manager: linkOptions()})
 	closeLink := func() { _ = conn.Close() }
 	stream, err := wire.NewDRPCDirectoryClient(conn).Link(ctx)
 	if err != nil {
--- a/internal/node/linkserver.go
+++ b/internal/node/linkserver.go
@@ -35,7 +35,7 @@
 			return nil, fault.Wrap(fault.Internal, err)
 		}
 	}
-	return &linkServer{listener: listener, server: drpcserver.New(mux)}, nil
+	return &linkServer{listener: listener, server: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: linkOptions()})}, nil
 }
 
 // run accepts connections until the context is done.
