The end of a link is logged with its reason at both ends

Cause: the sender of a link logged "context canceled" when its reader had failed, as the reader ends the sender's context, and the receiver logged nothing when it could not read a message, since "the dialing side logs the reason", which it does not get. A message that is too large and a peer that stands still looked alike.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -97,7 +97,7 @@
 // Run serves until the context is done. It returns an error of kind AddressInUse if it cannot
 // listen on the peer address.
 func (c *Control) Run(ctx context.Context) error {
-	links, err := newLinkServer(c.config.PeerAddr.String(), &linkHandler{control: c}, &controlAPI{control: c})
+	links, err := newLinkServer(c.config.PeerAddr.String(), &linkHandler{control: c}, &controlAPI{control: c}, c.config.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -143,7 +143,7 @@
 	if !e.config.OperatorAddr.IsValid() {
 		return nil
 	}
-	server, err := newLinkServer(e.config.OperatorAddr.String(), nil, &entryAPI{entry: e})
+	server, err := newLinkServer(e.config.OperatorAddr.String(), nil, &entryAPI{entry: e}, e.config.Log)
 	if err != nil {
 		e.config.Log.Error("cannot listen for operators' commands", "address", e.config.OperatorAddr, "error", err)
 		return nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -172,25 +172,26 @@
 	log := l.control.config.Log
 	log.Info("peer reached", "peer", l.address)
 	ctx, cancel := context.WithCancel(ctx)
-	receiverDone := make(chan struct{})
-	go l.receiveLoop(stream, func() {
+	receiverDone := make(chan error, 1)
+	go l.receiveLoop(stream, func(err error) {
 		cancel()
-		close(receiverDone)
+		receiverDone <- err
 	})
 	err = l.send(ctx, stream)
 	closeLink()
-	<-receiverDone // so that no late acknowledgement overwrites the reset below
+	receiveErr := <-receiverDone // so that no late acknowledgement overwrites the reset below
 	l.control.endpoints.acknowledge(l.address, 0)
-	log.Warn("peer lost", "peer", l.address, "error", err)
+	log.Warn("peer lost", "peer", l.address, "error", err, "receive_error", receiveErr)
 	return err
 }
 
-// receiveLoop handles acknowledgements until the link fails, and then calls onFailure.
-func (l *peerLink) receiveLoop(stream wire.DRPCDirectory_LinkClient, onFailure func()) {
-	defer onFailure()
+// receiveLoop handles acknowledgements until the link fails, and then calls onFailure with the
+// reason.
+func (l *peerLink) receiveLoop(stream wire.DRPCDirectory_LinkClient, onFailure func(error)) {
 	for {
 		frame, err := stream.Recv()
 		if err != nil {
+			onFailure(err)
 			return
 		}
 		if receipt := frame.GetReceipt(); receipt != nil {
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -1,10 +1,18 @@
 package node
 
 import (
+	"context"
+	"net"
+	"net/netip"
+	"strings"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+
+	"oxbowsaddle/internal/wire"
 )
 
 var _ = ginkgo.Describe("the rosters that control instances send to each other", func() {
@@ -29,3 +37,50 @@
 		Expect(rosterToSend(rosterOf(), 2).Instances).To(BeEmpty())
 	})
 })
+
+// linesWith returns the logged lines that contain a text.
+func linesWith(logged *gbytes.Buffer, text string) (lines []string) {
+	for line := range strings.Lines(string(logged.Contents())) {
+		if strings.Contains(line, text) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// Guards against log lines that hide why a link ended.
+var _ = ginkgo.Describe("the end of a link between control instances", func() {
+	var logged *gbytes.Buffer
+	var control *runningControl
+	ginkgo.BeforeEach(func() {
+		logged = gbytes.NewBuffer()
+		logger := log.NewWithOptions(logged, log.Options{Formatter: log.LogfmtFormatter})
+		control = newFleet(61, 1, 1, ginkgo.GinkgoT().TempDir, logger, DialTCP)[0]
+	})
+
+	ginkgo.It("is logged with the reason if the peer sends nothing", func() {
+		silent, err := net.Listen("tcp", netip.AddrPortFrom(control.config.PeerAddr.Addr(), 0).String())
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(silent.Close)
+		control.config.Seeds = append(control.config.Seeds, netip.MustParseAddrPort(silent.Addr().String()))
+		control.start()
+		ginkgo.DeferCleanup(func() { control.stop() })
+		Eventually(func() []string { return linesWith(logged, "peer lost") }, settleTimeout).Should(HaveLen(3))
+		Expect(linesWith(logged, "peer lost")).To(HaveEach(ContainSubstring("i/o timeout")))
+	})
+
+	ginkgo.It("is logged with the reason if a message is too large", func() {
+		control.start()
+		ginkgo.DeferCleanup(func() { control.stop() })
+		var raw net.Conn
+		Eventually(func() (err error) {
+			raw, err = DialTCP(context.Background(), control.config.PeerAddr.String(), settleTimeout)
+			return err
+		}, settleTimeout).Should(Succeed())
+		stream, closeLink, err := openLink(context.Background(), raw)
+		Expect(err).NotTo(HaveOccurred())
+		ginkgo.DeferCleanup(closeLink)
+		_ = stream.Send(helloFrame(&wire.Hello{Id: strings.Repeat("a", 64<<20)})) // fails if the link ends first
+		Eventually(func() []string { return linesWith(logged, "link ended") }, settleTimeout).Should(ConsistOf(ContainSubstring("data overflow")))
+	})
+})
