Links between control instances stay up while nothing changes

Each such end drops the messages of the log that are queued for the peer and the acknowledgements that a leaving endpoint waits for, and the link is back some 20 ms later.

Cause: the end of a link that dialed reads only acknowledgements of reports, and closes the link when it reads nothing for 1.2 s. Empty reports were meant to be sent each 0.2 s, but a link asks for the batches after the revision that it has sent, and an empty batch ends at the same revision. So every link between control instances ended whenever no heartbeat was recorded for 1.2 s.

The test "stay up while nothing changes" failed before.

Change: a link that has sent no reports for 0.4 s sends empty ones, which the peer acknowledges.

After: the test passes.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -32,7 +32,7 @@
 	}
 	l.fullBatches = &batchLog{delay: fullBatchDelay, changes: &l.changes, collect: l.changesAfter, isEmpty: nothingForEntry}
 	l.summaryBatches = &batchLog{delay: summaryBatchDelay, changes: &l.changes, collect: l.changeSummaryAfter, isEmpty: nothingForEntry}
-	// Each frame shows peers that this instance is alive, so empty batches are sent too.
+	// Empty batches are sent too, since they advance the revision that peers acknowledge.
 	l.peerBatches = &batchLog{delay: peerBatchDelay, interval: frameInterval, changes: &l.changes, collect: l.peerChangesAfter, isEmpty: func(*wire.Reports) bool { return false }}
 	return l
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -21,6 +21,10 @@
 	// traffic would grow with the cube of the number of instances. The period is shorter than
 	// the time after which a voter counts as lost.
 	fullRosterPeriod = 5
+	// idleReportInterval is how long no reports are sent before empty ones are. The peer
+	// acknowledges them, and this instance closes a link on which it receives nothing for
+	// linkIdleTimeout, which covers several of them.
+	idleReportInterval = 2 * frameInterval
 )
 
 type (
@@ -200,15 +204,15 @@
 	}
 }
 
-// send sends reports after changes and at least every frameInterval, and in between messages
-// of the replicated log, until the link fails or the context is done.
+// send sends reports after changes and at least every idleReportInterval, and in between
+// messages of the replicated log, until the link fails or the context is done.
 func (l *peerLink) send(ctx context.Context, stream wire.DRPCDirectory_LinkClient) error {
 	endpoints := l.control.endpoints
 	appended, unsubscribe := endpoints.peerBatches.appended.subscribe()
 	defer unsubscribe()
 	ticker := time.NewTicker(frameInterval)
 	defer ticker.Stop()
-	sent := endpoints.peerBatches.lastRevision()
+	sent, sentAt := endpoints.peerBatches.lastRevision(), l.control.config.Now()
 	if err := stream.Send(compressFrame(reportsFrame(endpoints.peerChangesAfter(0)), compressFast)); err != nil {
 		return err
 	}
@@ -221,10 +225,15 @@
 			revision = endpoints.peerBatches.lastRevision()
 			pending = singleBatch(endpoints.peerChangesAfter(sent))
 		}
+		now := l.control.config.Now()
+		if len(pending) == 0 && now.Sub(sentAt) >= idleReportInterval {
+			pending = singleBatch(&wire.Reports{Number: revision})
+		}
 		for _, each := range pending {
 			if err := stream.Send(each.frame); err != nil {
 				return err
 			}
+			sentAt = now
 		}
 		sent = revision
 	}
--- a/internal/node/peers_test.go
+++ b/internal/node/peers_test.go
@@ -84,3 +84,16 @@
 		Eventually(func() []string { return linesWith(logged, "link ended") }, settleTimeout).Should(ConsistOf(ContainSubstring("data overflow")))
 	})
 })
+
+// Guards against links that end whenever no endpoint sends a heartbeat for linkIdleTimeout.
+var _ = ginkgo.Describe("the links between control instances", func() {
+	ginkgo.It("stay up while nothing changes", func() {
+		logged := gbytes.NewBuffer()
+		fleet := startFleet(62, 3, 3, ginkgo.GinkgoT().TempDir, log.New(logged))
+		ginkgo.DeferCleanup(func() { fleet.stop() })
+		fleet.put(1)
+		time.Sleep(4 * linkIdleTimeout)
+		Expect(linesWith(logged, "peer lost")).To(BeEmpty())
+		Expect(linesWith(logged, "peer reached")).To(HaveLen(6))
+	})
+})
