An evacuation of a name that is not UTF-8 is answered at once

What callers saw: where the settings list no failure domains, an order for such a name was answered with 503 at each try, which callers repeat.

With failure domains in the settings it was rejected already.

Evidence: the new test "is rejected for a name that is not UTF-8 while the failure domains are unknown" failed before, with kind internal in place of not found.

Change: such a name is unknown, which the API answers with 422.

After: the test passes.

--- a/internal/node/evacuate.go
+++ b/internal/node/evacuate.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"oxbowsaddle/internal/directory"
 	"oxbowsaddle/internal/evacuation"
@@ -32,7 +33,7 @@
 func (c *Control) Evacuate(ctx context.Context, o evacuation.Order) (elsewhere string, err error) {
 	start := c.config.Now()
 	c.config.Log.Info("evacuation ordered", "order", o)
-	if len(c.config.Domains) > 0 && !slices.Contains(c.config.Domains, o.Domain) {
+	if !c.mayExist(o.Domain) {
 		err = fault.New(fault.NotFound, "unknown failure domain %q, expected one of %v", o.Domain, c.config.Domains)
 	} else {
 		elsewhere, err = c.evacuateDomain(ctx, o)
@@ -42,6 +43,15 @@
 	return elsewhere, err
 }
 
+// mayExist reports whether there may be a failure domain of a name. Names that are not UTF-8
+// cannot be logged.
+func (c *Control) mayExist(domain string) bool {
+	if len(c.config.Domains) == 0 {
+		return utf8.ValidString(domain)
+	}
+	return slices.Contains(c.config.Domains, domain)
+}
+
 // evacuateDomain proposes an order for a known failure domain.
 func (c *Control) evacuateDomain(ctx context.Context, o evacuation.Order) (elsewhere string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/node/evacuate_test.go
+++ b/internal/node/evacuate_test.go
@@ -75,6 +75,13 @@
 			fleet.evacuate(evacuation.Order{Domain: "d0"})
 		})
 
+		// Guards against an order that callers repeat without end, since it cannot be logged.
+		ginkgo.It("is rejected for a name that is not UTF-8 while the failure domains are unknown", func() {
+			Eventually(fleet.leader, settleTimeout).ShouldNot(BeNil())
+			_, err := fleet.leader().Evacuate(context.Background(), evacuation.Order{Domain: "\xe9"})
+			Expect(fault.KindOf(err)).To(Equal(fault.NotFound))
+		})
+
 		ginkgo.It("is not proposed if the caller disconnects before the loop gets to it", func() {
 			Eventually(fleet.leader, settleTimeout).ShouldNot(BeNil())
 			ctx, cancel := context.WithCancel(context.Background())
