--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -14,6 +14,12 @@
 	timestampBase = 36
 )
 
+// ValidSharedID reports whether an ID may be passed to Incarnation. One that contains the
+// separator would be taken for an incarnation of another endpoint.
+func ValidSharedID(id string) bool {
+	return id != "" && ValidText(id) && !strings.Contains(id, incarnationSeparator)
+}
+
 // Incarnation returns the ID of one incarnation of an endpoint whose starts share an
 // ID. Each start has its own flows, tags and health state. Born is the start time in
 // milliseconds; if it is 0, id already names a single start and is returned as is.
