Response sizes are kept for routes only

What callers saw: nothing; the table would have grown by some 100 bytes for each address that a client names in packets with the tag of an endpoint.

Cause: found beside the panic of held SYNs, among the tables with a client's address as key. A flow that another entry placed is tracked by its tag whatever its address, and the sizes of its responses were kept by that address, which is removed only with a route.

Evidence: TestRandomPacketsWithAdmission with the check "one for each route" failed before (2 with 1 route).

Change: sizes are noted only for addresses of routes.

After: the tests of steer pass.

--- a/internal/steer/admission_fuzz_test.go
+++ b/internal/steer/admission_fuzz_test.go
@@ -133,6 +133,7 @@
 	s.g.Expect(s.admission.charges).To(BeEmpty())
 	s.g.Expect(s.flows).To(BeEmpty())
 	s.g.Expect(s.idleOrder.Len() + s.pendingOpens.Len()).To(BeZero())
+	s.g.Expect(len(s.sizeStats)).To(BeNumerically("<=", len(s.routes)), "one for each route, whatever addresses clients name")
 	for _, b := range s.byID {
 		credits, inProgress := b.holding.Credits()
 		s.g.Expect([]int{b.flows, b.pendingRequests, credits, inProgress}).To(Equal([]int{0, 0, 0, 0}), "flows, pending requests, credits and requests in progress of %s", b.ID)
--- a/internal/steer/response_size.go
+++ b/internal/steer/response_size.go
@@ -59,10 +59,11 @@
 // noteResponseSize handles the end of the response to a flow's last request; ack is the client's
 // acknowledgement number there. A response that is short for its route is probably an error, and
 // its endpoint is reported as an outlier. If many are short, the responses of the route have
-// changed, and short ones are added to the averages too.
+// changed, and short ones are added to the averages too. Flows to other addresses than those of
+// routes are left out, since a client may name any number of these.
 func (s *Steerer) noteResponseSize(now time.Time, f *flow, ack uint32) {
 	bytes := float64(int32(ack - f.responseStart))
-	if f.requestAt.IsZero() || f.reassigned || bytes <= 1 {
+	if s.routes[f.key.dst] == nil || f.requestAt.IsZero() || f.reassigned || bytes <= 1 {
 		return
 	}
 	st := s.sizeStatsOf(f.key.dst)
