The replacement of a silent voter is added before it is removed

Cause: a silent voter was removed before its replacement was added, and a spare counted as at hand for 1 s after its last roster. With 2f voters, f lost disks lose the majority for good.

Change: a voter that is only silent is removed after its replacement is added; one whose disk is known to be lost still before.

--- a/internal/directory/voters.go
+++ b/internal/directory/voters.go
@@ -9,6 +9,9 @@
 	// maxLearnerSilence is five roster intervals; an instance that is silent for
 	// longer cannot become a voter.
 	maxLearnerSilence = time.Second
+	// maxLearnerAckAge is how old the last append may be that a learner has acknowledged for it to
+	// become a voter. It covers two heartbeats: the changes that follow wait for the new voter.
+	maxLearnerAckAge = 2 * Heartbeat
 	// maxVoterSilence allows a voter to restart before it is replaced.
 	maxVoterSilence = 2 * time.Second
 )
@@ -41,11 +44,12 @@
 	return now.Sub(heard) > maxVoterSilence
 }
 
-// changeVoters proposes the next change of the voters, if one is needed. A
-// dead voter is removed before its replacement is added: the opposite order
-// raises the majority by one, so that losing the new voter could leave too few.
-// A voter that is only silent may return with its disk, so it is removed only
-// if a replacement is ready.
+// changeVoters proposes the next change of the voters, if one is needed. A voter
+// with a lost disk is removed before its replacement is added: the opposite
+// order raises the majority by one, so that losing the new voter could leave too
+// few. A voter that is only silent may return with its disk. Its replacement is
+// added first, since with one voter less the loss of one more disk could leave
+// too few for good.
 func (d *Directory) changeVoters(now time.Time) {
 	voters := d.replica.Voters()
 	var dead, live []string
@@ -59,12 +63,13 @@
 	// Voters with a lost disk are removed first.
 	slices.SortStableFunc(dead, func(a, b string) int { return d.removalOrder(a) - d.removalOrder(b) })
 	candidate := d.promotableLearner(now, live)
+	surplus := len(voters) > d.config.Voters
 	switch {
-	case len(dead) > 0 && (d.replaced[dead[0]] || candidate != "" || len(voters) > d.config.Voters):
+	case len(dead) > 0 && (d.replaced[dead[0]] || surplus):
 		d.proposeVoters(now, without(voters, dead[0]))
-	case len(voters) > d.config.Voters:
+	case surplus:
 		d.proposeVoters(now, without(voters, d.surplusVoter(live)))
-	case len(voters) < d.config.Voters && candidate != "":
+	case candidate != "" && (len(dead) > 0 || len(voters) < d.config.Voters):
 		d.proposeVoters(now, append(slices.Clone(voters), candidate))
 	}
 }
@@ -85,14 +90,18 @@
 	_, _ = d.replica.ProposeVoters(now, voters)
 }
 
-// promotableLearner returns the learner that holds all committed entries and
-// whose failure domain has the fewest live voters, or "".
+// promotableLearner returns the learner that holds all committed entries, has
+// acknowledged an append within maxLearnerAckAge, and whose failure domain has
+// the fewest live voters, or "".
 func (d *Directory) promotableLearner(now time.Time, live []string) string {
 	best, fewest := "", 0
 	for _, id := range d.learners(now) {
 		if match := d.replica.Match(id); match == 0 || match < d.replica.Commit() {
 			continue
 		}
+		if now.Sub(d.replica.LastAck(id)) > maxLearnerAckAge {
+			continue
+		}
 		if n := d.countInDomain(live, d.domainOf(id)); best == "" || n < fewest {
 			best, fewest = id, n
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -139,6 +139,16 @@
 	return 0
 }
 
+// LastAck returns when the last append that an instance acknowledged was sent,
+// or the zero time if this is unknown.
+func (r *Replica) LastAck(name string) time.Time {
+	f := r.followers[name]
+	if r.role != Leader || f == nil || f.lastAcked == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, f.lastAcked)
+}
+
 // Confirmed reports whether the local commit index covers everything that was
 // committed when the current leader was elected, that is, whether the last
 // committed entry is of the current term.
