--- a/internal/steer/admission_fuzz_test.go
+++ b/internal/steer/admission_fuzz_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"testing"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"oxbowsaddle/internal/wire"
@@ -17,7 +19,7 @@
 // Steerer with admission control.
 type packetSequence struct {
 	*admissionTest
-	g     *WithT
+	g     Gomega
 	input []byte
 	taken []*wire.CreditRequest // received by the allocator, not answered yet
 }
@@ -141,8 +143,7 @@
 }
 
 // runPacketSequence brings a service into load mode and runs a sequence.
-func runPacketSequence(t *testing.T, input []byte) {
-	g := NewWithT(t)
+func runPacketSequence(g Gomega, input []byte) {
 	s := &packetSequence{admissionTest: newAdmissionTest(), g: g, input: input}
 	for port := uint16(1000); s.admission.account.LoadedServices() == 0; port++ {
 		s.now = s.now.Add(time.Millisecond)
@@ -154,23 +155,22 @@
 
 // Guards against a SYN that replaces a held one of the same addresses: the datagram of the first
 // was lost, and forwarding it ended the process.
-func TestRandomPacketsWithAdmission(t *testing.T) {
-	const runs, steps = 300, 2000
-	for seed := range uint64(runs) {
-		rng := rand.New(rand.NewPCG(seed, 3))
-		input := make([]byte, steps)
-		for i := range input {
-			input[i] = byte(rng.Uint32())
+var _ = Describe("random packets with admission control", func() {
+	It("are decided on with their own datagrams, and leave nothing behind", func() {
+		const runs, steps = 300, 2000
+		for seed := range uint64(runs) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			input := make([]byte, steps)
+			for i := range input {
+				input[i] = byte(rng.Uint32())
+			}
+			runPacketSequence(NewGomega(func(message string, skip ...int) { Fail(fmt.Sprintf("seed %d: %s", seed, message), skip...) }), input)
 		}
-		runPacketSequence(t, input)
-		if t.Failed() {
-			t.Fatalf("seed %d", seed)
-		}
-	}
-}
+	})
+})
 
-// FuzzPacketsWithAdmission is TestRandomPacketsWithAdmission with other sequences.
+// FuzzPacketsWithAdmission runs other sequences than these.
 func FuzzPacketsWithAdmission(f *testing.F) {
 	f.Add([]byte{0, 0, 1, 0, 8, 1, 6, 1, 6, 1})
-	f.Fuzz(func(t *testing.T, input []byte) { runPacketSequence(t, input) })
+	f.Fuzz(func(t *testing.T, input []byte) { runPacketSequence(NewWithT(t), input) })
 }
