--- a/internal/directory/faults_test.go
+++ b/internal/directory/faults_test.go
@@ -70,11 +70,10 @@
 		if inst.d != nil && !inst.disk.Crashed() {
 			continue
 		}
-		inst.disk.Restart(f.rng.IntN(40))
 		if !inst.wipedAt.IsZero() && inst.d == nil && inst.store == nil {
 			inst.wipedAt = f.now // first start of a replacement
 		}
-		f.start(inst)
+		f.startAgain(inst)
 	}
 }
 
--- a/internal/directory/overlap_test.go
+++ b/internal/directory/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -136,10 +137,5 @@
 
 // votes reports whether the leader lists an instance as a voter.
 func (f *fleet) votes(inst *instance) bool {
-	for _, id := range f.leader().d.replica.Voters() {
-		if id == inst.id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(f.leader().d.replica.Voters(), inst.id)
 }
