--- a/internal/credit/credit.go
+++ b/internal/credit/credit.go
@@ -169,6 +169,10 @@
 	return a.decided(now, s, f, v)
 }
 
+// Cancel ends the wait of a flow without a decision. A credit that was requested for it becomes
+// idle when it arrives. Unknown tickets are ignored.
+func (a *Account) Cancel(ticket uint64) { delete(a.tickets, ticket) }
+
 // decided counts a decision and remembers a rejected client.
 func (a *Account) decided(now time.Time, s *service, f Flow, v Verdict) Verdict {
 	a.counts.add(f, v.Outcome)
--- a/internal/node/entryadmission.go
+++ b/internal/node/entryadmission.go
@@ -36,9 +36,8 @@
 	// fields are guarded by the mutex of the entry, unless stated otherwise.
 	entryAdmission struct {
 		entry     *Entry
-		conn      *net.UDPConn // set before the loops start
-		packets   *net.UDPConn // set before the loops start
-		held      map[heldFlow][]byte
+		conn      *net.UDPConn           // set before the loops start
+		packets   *net.UDPConn           // set before the loops start
 		instances []attachment.Candidate // control instances, of which pools have their allocators
 		ranked    map[[2]string][]netip.AddrPort
 		entries   map[string]int // entries of the own failure domain, by control instance
@@ -48,14 +47,11 @@
 		link      *linkload.Meter
 		linkPeak  float64 // highest utilisation of the link
 	}
-
-	// heldFlow identifies a flow whose SYN is held.
-	heldFlow struct{ src, dst netip.AddrPort }
 )
 
 func newEntryAdmission(e *Entry) *entryAdmission {
 	return &entryAdmission{
-		entry: e, held: map[heldFlow][]byte{}, ranked: map[[2]string][]netip.AddrPort{}, entries: map[string]int{},
+		entry: e, ranked: map[[2]string][]netip.AddrPort{}, entries: map[string]int{},
 		link: linkload.New(e.config.LinkCapacity),
 		wake: make(chan struct{}, 1), wait: telemetry.NewTiming("oxbowsaddle_admission_wait_seconds"),
 	}
@@ -87,7 +83,7 @@
 		a.entry.config.Log.Info("link", "peak", u)
 	}
 	if d.Action == steer.Hold {
-		a.held[heldFlow{p.Src, p.Dst}] = slices.Clone(raw)
+		a.entry.steerer.KeepHeld(p, raw)
 	}
 	if a.entry.steerer.AdmissionIdle() {
 		return
@@ -227,9 +223,8 @@
 		return
 	}
 	resolved := a.entry.steerer.HandleCreditReply(now, &reply)
-	raws := a.release(resolved)
 	a.entry.mu.Unlock()
-	a.executeAll(now, resolved, raws, out)
+	a.executeAll(now, resolved, out)
 }
 
 // tickLoop does the periodic work of admission control under load, until the context is done.
@@ -261,10 +256,9 @@
 	now := a.entry.config.Now()
 	a.entry.mu.Lock()
 	resolved := a.entry.steerer.TickAdmission(now)
-	raws := a.release(resolved)
 	idle = a.entry.steerer.AdmissionIdle()
 	a.entry.mu.Unlock()
-	a.executeAll(now, resolved, raws, out)
+	a.executeAll(now, resolved, out)
 	return idle
 }
 
@@ -275,23 +269,13 @@
 	a.link.Add(now, bytes)
 }
 
-// release returns the packets of held flows that have been decided on. The caller holds the lock.
-func (a *entryAdmission) release(resolved []steer.Resolved) (raws [][]byte) {
-	for _, r := range resolved {
-		key := heldFlow{r.Packet.Src, r.Packet.Dst}
-		raws = append(raws, a.held[key])
-		delete(a.held, key)
-	}
-	return raws
-}
-
 // executeAll carries out the decisions on packets that were held.
-func (a *entryAdmission) executeAll(now time.Time, resolved []steer.Resolved, raws [][]byte, out []byte) {
-	for i, r := range resolved {
+func (a *entryAdmission) executeAll(now time.Time, resolved []steer.Resolved, out []byte) {
+	for _, r := range resolved {
 		a.wait.Observe(r.Waited)
 		if r.Decision.Action != steer.Drop {
-			a.countSent(now, len(raws[i]))
+			a.countSent(now, len(r.Raw))
 		}
-		a.entry.execute(a.packets, now, r.Packet, r.Decision, raws[i], out)
+		a.entry.execute(a.packets, now, r.Packet, r.Decision, r.Raw, out)
 	}
 }
--- a/internal/steer/admission.go
+++ b/internal/steer/admission.go
@@ -18,18 +18,25 @@
 const maxCharge = time.Second
 
 type (
-	// Resolved is the decision on a SYN that was held.
+	// Resolved is the decision on a SYN that was held. Raw is the datagram that KeepHeld stored.
 	Resolved struct {
 		Packet   Packet
+		Raw      []byte
 		Decision Decision
 		Waited   time.Duration
 	}
 
+	// heldSYN is a SYN that waits for an allocator, with its datagram.
+	heldSYN struct {
+		packet Packet
+		raw    []byte
+	}
+
 	// admission connects a Steerer to the account of its credits. It is nil if admission control
 	// is off.
 	admission struct {
 		account  *credit.Account
-		held     map[uint64]Packet            // SYNs by ticket
+		held     map[uint64]*heldSYN          // by ticket
 		tickets  map[flowKey]uint64           // by flow
 		backends map[*credit.Holding]*backend // by holding
 		domains  map[string][]string          // failure domains by service, sorted; built on demand
@@ -47,7 +54,7 @@
 func (s *Steerer) enableAdmission(c credit.Config) {
 	c.Slots = s.localSlots
 	s.admission = &admission{
-		account: credit.New(c), held: map[uint64]Packet{}, tickets: map[flowKey]uint64{},
+		account: credit.New(c), held: map[uint64]*heldSYN{}, tickets: map[flowKey]uint64{},
 		backends: map[*credit.Holding]*backend{}, domains: map[string][]string{},
 	}
 }
@@ -132,7 +139,7 @@
 	}
 	v := s.admission.account.Admit(now, f, usable)
 	if v.Outcome == credit.Waiting {
-		s.admission.held[v.Ticket], s.admission.tickets[flowKey{p.Src, p.Dst}] = p, v.Ticket
+		s.admission.held[v.Ticket], s.admission.tickets[flowKey{p.Src, p.Dst}] = &heldSYN{packet: p}, v.Ticket
 		return Decision{Action: Hold, Reason: AwaitingCredit}, true
 	}
 	return s.applyVerdict(now, f, p, v)
@@ -184,7 +191,25 @@
 		return false
 	}
 	ticket, ok := s.admission.tickets[flowKey{p.Src, p.Dst}]
-	return ok && s.admission.held[ticket].Seq == p.Seq
+	return ok && s.admission.held[ticket].packet.Seq == p.Seq
+}
+
+// KeepHeld stores a copy of the datagram of a SYN that Decide has just held.
+func (s *Steerer) KeepHeld(p Packet, raw []byte) {
+	if ticket, ok := s.admission.tickets[flowKey{p.Src, p.Dst}]; ok {
+		s.admission.held[ticket].raw = slices.Clone(raw)
+	}
+}
+
+// cancelHeld drops the held SYN with the addresses of p, if there is one: a client that opens
+// another flow from the same port has given up the first.
+func (s *Steerer) cancelHeld(p Packet) {
+	key := flowKey{p.Src, p.Dst}
+	if ticket, ok := s.admission.tickets[key]; ok {
+		s.admission.account.Cancel(ticket)
+		delete(s.admission.held, ticket)
+		delete(s.admission.tickets, key)
+	}
 }
 
 // HandleCreditReply applies the reply of an allocator, and returns the decisions on SYNs that were
@@ -227,13 +252,14 @@
 // resolve turns resolutions into decisions on the held SYNs.
 func (s *Steerer) resolve(now time.Time, resolutions []credit.Resolution) (resolved []Resolved) {
 	for _, r := range resolutions {
-		p, ok := s.admission.held[r.Ticket]
+		held, ok := s.admission.held[r.Ticket]
 		if !ok {
 			continue
 		}
+		p := held.packet
 		delete(s.admission.held, r.Ticket)
 		delete(s.admission.tickets, flowKey{p.Src, p.Dst})
-		resolved = append(resolved, Resolved{Packet: p, Decision: s.decideHeld(now, p, r.Verdict), Waited: r.Waited})
+		resolved = append(resolved, Resolved{Packet: p, Raw: held.raw, Decision: s.decideHeld(now, p, r.Verdict), Waited: r.Waited})
 	}
 	return resolved
 }
--- a/internal/steer/flow.go
+++ b/internal/steer/flow.go
@@ -56,8 +56,10 @@
 	return f
 }
 
-// addFlow adds a flow, evicting the least recently used one if the table is full.
+// addFlow adds a flow, evicting the least recently used one if the table is full. A flow with the
+// same addresses, which began while the SYN of this one was held, is removed.
 func (s *Steerer) addFlow(now time.Time, p Packet, b *backend) *flow {
+	s.removeFlow(s.flows[flowKey{p.Src, p.Dst}])
 	if len(s.flows) >= s.config.MaxFlows {
 		s.removeFlow(s.idleOrder.Front().Value.(*flow))
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -187,6 +187,7 @@
 		return Decision{Reason: AwaitingCredit}
 	}
 	if s.admission != nil {
+		s.cancelHeld(p)
 		if d, decided := s.admit(now, r, p); decided {
 			return d
 		}
